--- /dev/null
+++ b/internal/control/decider/admit.go
@@ -0,0 +1,235 @@
+package decider
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"masticroad/internal/control/admitter"
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/predictor"
+	"masticroad/internal/control/queuer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file admits requests. A key that was seen before gets the same
+// request's outcome; a refused request is never logged, so it was not run.
+// Example: a till resends key q-17 through another daemon while the first
+// attempt runs; the second daemon is told the outcome when there is one.
+
+func (d *Decider) takeAdmit(s *session, a *Admit, now time.Time) {
+	key := registrar.RequestKey{Caller: a.Caller, Key: a.Key}
+	if d.Disabled&WithoutKeyCheck == 0 {
+		if t := d.State.Lookup(key); t != nil {
+			d.answerKnown(s, a, t, now)
+			return
+		}
+		if t := d.round.fresh[key]; t != nil {
+			if t.Content != a.Content {
+				d.reply(s, conflict(a))
+				return
+			}
+			d.watch(key, s.daemon.Name)
+			return
+		}
+	}
+	if r := d.refusal(a, now); r != nil {
+		d.Counters.Refused++
+		d.reply(s, Reply{
+			Caller: a.Caller, Key: a.Key, Outcome: registrar.NotRun, Reason: r.Reason,
+			RetryAfter: r.RetryAfter, Retired: d.callerGone(a.Caller),
+		})
+		return
+	}
+	d.admit(s, a, now)
+}
+
+func conflict(a *Admit) Reply {
+	return Reply{Caller: a.Caller, Key: a.Key, Conflict: true, Reason: "the key was used with other content"}
+}
+
+func (d *Decider) reply(s *session, r Reply) {
+	m := d.down(s.daemon.Name)
+	m.Replies = append(m.Replies, r)
+}
+
+func (d *Decider) callerGone(name registrar.CallerName) bool {
+	c := d.State.Callers[name]
+	return c == nil || c.State != registrar.CallerActive
+}
+
+// refusal returns why a request is not admitted, or nil.
+func (d *Decider) refusal(a *Admit, now time.Time) *admitter.Refusal {
+	c := d.State.Callers[a.Caller]
+	if c == nil {
+		return &admitter.Refusal{Reason: "caller is not known", Permanent: true}
+	}
+	if c.State != registrar.CallerActive && d.Disabled&WithoutRetiredCheck == 0 {
+		return &admitter.Refusal{Reason: "caller is retired", Permanent: true}
+	}
+	if r := d.neverFits(c, a.Need, a.Region); r != nil {
+		return r
+	}
+	left := time.Duration(-1)
+	if a.Deadline > 0 && d.policies.DeadlineAdmission {
+		left = max(a.Deadline.Time().Sub(now), 0)
+	}
+	class := d.queue.LenClass(a.Class)
+	load := admitter.Load{
+		OfCaller:  d.queue.LenOf(a.Caller, a.Class),
+		OfClass:   class,
+		Predicted: d.rates.Predict(a.Class, class, now),
+	}
+	bounds := admitter.Bounds{
+		PerCaller: d.policies.QueuePerCaller, PerClass: d.policies.QueuePerClass,
+		MinRetry: minRetryAfter, MaxRetry: maxRetryAfter,
+	}
+	return bounds.Check(load, c.QueueBound, left)
+}
+
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// neverFits finds work that no target could run even when empty, or that is
+// above its caller's quota on its own.
+func (d *Decider) neverFits(c *registrar.Caller, need registrar.Need, region registrar.RegionName) *admitter.Refusal {
+	if !admitter.QuotaAllows(c.Quota, registrar.Need{}, need) {
+		return &admitter.Refusal{Reason: fmt.Sprintf("needs %s, above the caller's quota of %s", need, c.Quota), Permanent: true}
+	}
+	if len(d.order) == 0 {
+		return nil // targets may yet announce themselves
+	}
+	miss, ok := placer.NearestMiss(d.order, &placer.Want{Need: need, Region: region})
+	if ok {
+		return nil
+	}
+	text := fmt.Sprintf("needs %d %s; the largest target has %d", miss.Needed, miss.Resource, miss.Largest)
+	return &admitter.Refusal{Reason: text, Permanent: true}
+}
+
+func (d *Decider) admit(s *session, a *Admit, now time.Time) {
+	t := &registrar.Task{
+		ID: d.nextTask, Caller: a.Caller, Key: a.Key, Content: a.Content,
+		Class: a.Class, Need: a.Need, Once: a.Once, Submitted: registrar.MillisOf(now),
+		Deadline: a.Deadline, RunTime: a.RunTime, Daemon: s.daemon.Name, Life: s.daemon.Life, Region: a.Region,
+	}
+	d.nextTask++
+	d.Counters.Admitted++
+	d.budget.Earn(a.Caller)
+	d.emit(registrar.TaskAdmitted{Task: *t})
+	d.round.fresh[registrar.RequestKey{Caller: a.Caller, Key: a.Key}] = t
+	d.queue.Push(d.item(t))
+	d.watchDeadline(t)
+}
+
+func (d *Decider) item(t *registrar.Task) *queuer.Item {
+	run := d.learned.RunTime(workOf(t), t.RunTime, learnQuantile)
+	return &queuer.Item{
+		ID: t.ID, Caller: t.Caller, Class: t.Class, Kind: t.Kind, Need: t.Need, Count: 1, Once: t.Once,
+		Job: t.Job, Region: t.Region, Since: t.Submitted, Deadline: t.Deadline, RunTime: run,
+		Daemon: t.Daemon, Life: t.Life, Failures: t.Failures, Key: t.Key, Attempt: t.Attempt,
+	}
+}
+
+func workOf(t *registrar.Task) predictor.Work {
+	return predictor.Work{Caller: t.Caller, Job: t.Job, Class: t.Class}
+}
+
+// answerKnown handles a key that is in the tables.
+func (d *Decider) answerKnown(s *session, a *Admit, t *registrar.Task, now time.Time) {
+	if t.Content != a.Content {
+		d.reply(s, conflict(a))
+		return
+	}
+	if t.State == registrar.Ended {
+		d.answerEnded(s, a, t, now)
+		return
+	}
+	sameLife := t.Daemon == s.daemon.Name && t.Life == s.daemon.Life
+	if sameLife {
+		return
+	}
+	if t.State == registrar.Queued && !d.daemonAlive(t.Daemon, t.Life, now) && !d.round.touched[t.ID] {
+		d.round.touched[t.ID] = true
+		d.emit(registrar.TaskAttached{ID: t.ID, Daemon: s.daemon.Name, Life: s.daemon.Life})
+		return
+	}
+	d.watch(registrar.RequestKey{Caller: a.Caller, Key: a.Key}, s.daemon.Name)
+}
+
+// answerEnded repeats an outcome. A repeatable request whose answer is held
+// nowhere any more is run once more.
+func (d *Decider) answerEnded(s *session, a *Admit, t *registrar.Task, now time.Time) {
+	lost := a.Again && !t.Once && t.Outcome == registrar.Done
+	if !lost {
+		d.reply(s, replyOf(t))
+		return
+	}
+	if r := d.refusal(a, now); r != nil {
+		d.reply(s, Reply{Caller: a.Caller, Key: a.Key, Task: t.ID, Attempt: t.Attempt, Outcome: registrar.Unknown, Reason: "the answer is lost, and it can't run again: " + r.Reason})
+		return
+	}
+	d.admit(s, a, now)
+}
+
+func replyOf(t *registrar.Task) Reply {
+	return Reply{
+		Caller: t.Caller, Key: t.Key, Task: t.ID, Attempt: t.Attempt, Outcome: t.Outcome,
+		Reason: t.Reason, Answer: t.Answer, Status: t.Status, Holder: t.Daemon,
+	}
+}
+
+// watch notes a daemon that waits for the outcome of a request that another
+// one holds.
+func (d *Decider) watch(key registrar.RequestKey, name registrar.DaemonName) {
+	if !slices.Contains(d.watchers[key], name) {
+		d.watchers[key] = append(d.watchers[key], name)
+	}
+}
+
+// notifyWatchers tells waiting daemons the outcome of a request.
+func (d *Decider) notifyWatchers(t *registrar.Task) {
+	key := registrar.RequestKey{Caller: t.Caller, Key: t.Key}
+	for _, name := range d.watchers[key] {
+		m := d.down(name)
+		m.Replies = append(m.Replies, replyOf(t))
+	}
+	delete(d.watchers, key)
+}
+
+// takeCancel withdraws a request or a job at its caller's wish.
+func (d *Decider) takeCancel(c *Cancel, now time.Time) {
+	if c.Job != "" {
+		d.cancelJob(registrar.JobKey{Caller: c.Caller, Name: c.Job}, "canceled by the caller", now)
+		return
+	}
+	t := d.State.Lookup(registrar.RequestKey{Caller: c.Caller, Key: c.Key})
+	if t != nil {
+		d.cancelTask(t, "canceled by the caller", now)
+	}
+}
+
+// cancelTask ends a queued task as NotRun and stops a running one.
+func (d *Decider) cancelTask(t *registrar.Task, reason string, now time.Time) {
+	if d.live(t.ID) == nil {
+		return
+	}
+	if t.State == registrar.Queued {
+		d.end(t, registrar.TaskEnded{ID: t.ID, Outcome: notRunOutcome(t), Reason: reason}, now)
+		return
+	}
+	if !t.Stopping || !t.Canceled {
+		d.stop(t, reason, true, VerbStop, now)
+	}
+}
+
+// notRunOutcome returns the outcome of a task that ends while it is queued: an
+// earlier attempt may have run.
+func notRunOutcome(t *registrar.Task) registrar.Outcome {
+	if t.Attempt == 0 {
+		return registrar.NotRun
+	}
+	return registrar.Failed
+}
--- /dev/null
+++ b/internal/control/decider/changes.go
@@ -0,0 +1,286 @@
+package decider
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file handles operators' changes. A change names the revision that it is
+// based on and an id; of several changes on one base exactly one is accepted.
+// It is answered once every daemon that can still act has confirmed it.
+// Example: two operators change revision 17 at once; one gets revision 18, the
+// other is refused with the present revision 18.
+
+// Change is an operator's change as it enters a round.
+type Change struct {
+	ID       registrar.ChangeID
+	Base     *registrar.Revision // nil: on whatever is present
+	Ops      []registrar.Op
+	Text     string
+	Operator string
+	// Known, when set, is the digest of a change that was accepted before; only
+	// its answer is wanted again.
+	Known *registrar.Digest
+	// Done is called once, with the result.
+	Done func(ChangeResult)
+}
+
+// ChangeResult is the answer to a change.
+type ChangeResult struct {
+	Revision  registrar.Revision // of the change, or the present one on refusal
+	Index     registrar.Index
+	Refused   []string // findings; empty when accepted
+	Repeated  bool     // the id was known: this is the first answer again
+	Uncertain bool     // leadership was lost: send it again with the same id
+	InForce   []registrar.DaemonName
+	Lapsed    []registrar.DaemonName
+}
+
+type waitingChange struct {
+	id          registrar.ChangeID
+	revision    registrar.Revision
+	committedAt time.Time
+	repeated    bool
+	done        func(ChangeResult)
+}
+
+// DigestChange returns the digest of what a change does.
+func DigestChange(base *registrar.Revision, ops []registrar.Op) registrar.Digest {
+	data, err := cbor.Marshal(struct {
+		Base *registrar.Revision
+		Ops  []registrar.Op
+	}{base, ops})
+	if err != nil {
+		return 0
+	}
+	return DigestName(string(data))
+}
+
+func (d *Decider) takeChange(c *Change, now time.Time) {
+	digest := DigestChange(c.Base, c.Ops)
+	if c.Known != nil {
+		digest = *c.Known
+	}
+	if d.answerRepeat(c, digest, now) {
+		return
+	}
+	if findings := d.checkChange(c); len(findings) > 0 {
+		d.Counters.ChangesDenied++
+		d.refuseChange(c, findings)
+		return
+	}
+	d.revision++
+	d.Counters.ChangesTaken++
+	d.round.changed[c.ID] = digest
+	d.emit(registrar.ConfigChanged{
+		Record: registrar.ChangeRecord{ID: c.ID, Digest: digest, Revision: d.revision, Text: c.Text, Operator: c.Operator},
+		Ops:    c.Ops,
+	})
+	d.waiting = append(d.waiting, waitingChange{id: c.ID, revision: d.revision, committedAt: now, done: c.Done})
+}
+
+// answerRepeat handles a change whose id is known.
+func (d *Decider) answerRepeat(c *Change, digest registrar.Digest, now time.Time) bool {
+	known, ok := d.round.changed[c.ID]
+	revision := d.revision
+	if rec := d.State.Changes[c.ID]; rec != nil {
+		known, ok, revision = rec.Digest, true, rec.Revision
+	}
+	if !ok {
+		return false
+	}
+	if known != digest {
+		d.refuseChange(c, []string{fmt.Sprintf("change id %q was used with other content", c.ID)})
+		return true
+	}
+	d.waiting = append(d.waiting, waitingChange{id: c.ID, revision: revision, committedAt: now, repeated: true, done: c.Done})
+	return true
+}
+
+func (d *Decider) refuseChange(c *Change, findings []string) {
+	present := d.revision
+	d.round.Answers = append(d.round.Answers, func() {
+		c.Done(ChangeResult{Revision: present, Refused: findings})
+	})
+}
+
+func (d *Decider) checkChange(c *Change) []string {
+	var findings []string
+	if c.ID == "" {
+		findings = append(findings, "a change needs an id")
+	}
+	if len(c.Ops) == 0 {
+		findings = append(findings, "a change needs at least one step")
+	}
+	if c.Base != nil && *c.Base != d.revision && d.Disabled&WithoutBaseCheck == 0 {
+		findings = append(findings, fmt.Sprintf("based on revision %d, but the present revision is %d", *c.Base, d.revision))
+	}
+	for i, op := range c.Ops {
+		if text := d.checkOp(c.Ops[:i], op); text != "" {
+			findings = append(findings, fmt.Sprintf("step %d: %s", i+1, text))
+		}
+	}
+	return findings
+}
+
+func (d *Decider) checkOp(earlier []registrar.Op, op registrar.Op) string {
+	switch {
+	case op.PutCaller != nil:
+		return d.checkCaller(op.PutCaller)
+	case op.RetireCaller != "":
+		return d.checkRetire(op.RetireCaller)
+	case op.PutPolicy != nil:
+		if err := CheckPolicy(op.PutPolicy.Name, op.PutPolicy.Value); err != nil {
+			return err.Error()
+		}
+	case op.PutJob != nil:
+		return d.checkPutJob(earlier, op.PutJob)
+	case op.CancelJob != nil:
+		if d.State.Jobs[*op.CancelJob] == nil {
+			return fmt.Sprintf("job %q of caller %q does not exist", op.CancelJob.Name, op.CancelJob.Caller)
+		}
+	case op.DrainTarget != nil:
+		return d.checkTarget(op.DrainTarget.Name)
+	case op.RetireTarget != "":
+		return d.checkTarget(op.RetireTarget)
+	case op.CancelTask != 0:
+		if t := d.State.Tasks[op.CancelTask]; t == nil || t.State == registrar.Ended {
+			return fmt.Sprintf("task %d is not queued or running", op.CancelTask)
+		}
+	default:
+		return "the step does nothing"
+	}
+	return ""
+}
+
+func (d *Decider) checkCaller(c *registrar.Caller) string {
+	old := d.State.Callers[c.Name]
+	switch {
+	case !ValidName(string(c.Name)):
+		return fmt.Sprintf("caller name %q must have 1 to %d letters, digits, dots or dashes", c.Name, maxNameLength)
+	case old != nil && old.State != registrar.CallerActive:
+		return fmt.Sprintf("caller %q is retired; a retired name is not used again", c.Name)
+	case c.Quota.CPU < 0 || c.Quota.Memory < 0 || c.Quota.Accelerators < 0:
+		return fmt.Sprintf("the quota of caller %q is negative", c.Name)
+	}
+	return ""
+}
+
+func (d *Decider) checkRetire(name registrar.CallerName) string {
+	c := d.State.Callers[name]
+	switch {
+	case c == nil:
+		return fmt.Sprintf("caller %q does not exist", name)
+	case c.State != registrar.CallerActive:
+		return fmt.Sprintf("caller %q is already %s", name, c.State)
+	}
+	return ""
+}
+
+func (d *Decider) checkPutJob(earlier []registrar.Op, j *registrar.Job) string {
+	for _, op := range earlier {
+		if op.PutCaller != nil && op.PutCaller.Name == j.Caller {
+			return "" // the caller is created by an earlier step
+		}
+	}
+	if old := d.State.Jobs[j.KeyOf()]; old != nil && (old.Kind != j.Kind || old.Canceled) {
+		return fmt.Sprintf("job %q of caller %q exists with another kind or is canceled", j.Name, j.Caller)
+	}
+	return CheckJob(d.State, j)
+}
+
+func (d *Decider) checkTarget(name registrar.TargetName) string {
+	t := d.State.Targets[name]
+	switch {
+	case t == nil:
+		return fmt.Sprintf("target %q does not exist", name)
+	case t.State == registrar.TargetRetired || t.Retiring:
+		return fmt.Sprintf("target %q is retired", name)
+	}
+	return ""
+}
+
+const maxNameLength = 64
+
+// ValidName reports whether a name consists of letters, digits, dots, dashes
+// and underscores.
+func ValidName(name string) bool {
+	if name == "" || len(name) > maxNameLength {
+		return false
+	}
+	return strings.IndexFunc(name, func(r rune) bool {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		return !letter && r != '-' && r != '.' && r != '_'
+	}) < 0
+}
+
+// answerChanges answers the changes that are in force in every daemon that can
+// still act.
+func (d *Decider) answerChanges(now time.Time) {
+	keep := d.waiting[:0]
+	for _, w := range d.waiting {
+		rec := d.State.Changes[w.id]
+		inForce, lapsed, ok := d.inForce(w.revision, now)
+		if rec == nil || !ok && d.Disabled&WithoutConfirmation == 0 {
+			keep = append(keep, w)
+			continue
+		}
+		result := ChangeResult{Revision: rec.Revision, Index: rec.Index, Repeated: w.repeated, InForce: inForce, Lapsed: lapsed}
+		done := w.done
+		d.round.Answers = append(d.round.Answers, func() { done(result) })
+	}
+	d.waiting = keep
+}
+
+// inForce reports whether each daemon has confirmed a revision or has lost its
+// lease.
+func (d *Decider) inForce(r registrar.Revision, now time.Time) (confirmed, lapsed []registrar.DaemonName, ok bool) {
+	for name := range d.State.Daemons {
+		s := d.sessions[name]
+		switch {
+		case s != nil && s.revision >= r:
+			confirmed = append(confirmed, name)
+		case !d.daemonLeases.Held(name, now):
+			lapsed = append(lapsed, name)
+		default:
+			return nil, nil, false
+		}
+	}
+	return confirmed, lapsed, true
+}
+
+// Abandon answers every waiting change as uncertain, when leadership is lost.
+func (d *Decider) Abandon() {
+	for _, w := range d.waiting {
+		w.done(ChangeResult{Uncertain: true})
+	}
+	d.waiting = nil
+}
+
+// applyWithdrawals notes the cancellations of a committed change, for the next
+// round to carry out.
+func (d *Decider) applyWithdrawals(ev registrar.ConfigChanged) {
+	for _, op := range ev.Ops {
+		if op.CancelTask != 0 {
+			d.cancels = append(d.cancels, op.CancelTask)
+		}
+		if op.PutJob != nil {
+			d.activeJobs[op.PutJob.KeyOf()] = true
+		}
+	}
+}
+
+func (d *Decider) carryOutCancels(now time.Time) {
+	ids := d.cancels
+	d.cancels = nil
+	for _, id := range ids {
+		if t := d.State.Tasks[id]; t != nil {
+			d.cancelTask(t, "canceled by an operator", now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/decider/decider.go
@@ -0,0 +1,387 @@
+package decider
+
+import (
+	"math/rand"
+	"slices"
+	"time"
+
+	"masticroad/internal/control/admitter"
+	"masticroad/internal/control/leaser"
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/predictor"
+	"masticroad/internal/control/quarantiner"
+	"masticroad/internal/control/queuer"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/control/retrier"
+)
+
+// This file holds the Decider: its working tables, which are rebuilt whenever
+// a leader begins, and one round of decisions. A round reads only committed
+// state; what it decides is in force once its events are committed.
+
+// Timing holds the time bounds of leases and starts.
+type Timing struct {
+	DaemonLease   time.Duration
+	TargetLease   time.Duration
+	Drift         float64       // of two clocks' speeds
+	StartWindow   time.Duration // from the assignment to the latest send
+	Transit       time.Duration // in which a sent start arrives or is dropped
+	RevisionGrace time.Duration // for a daemon to apply a change
+	CallerGrace   time.Duration // for a caller to come back after its daemon died
+	FullEvery     time.Duration // between full reports of a target
+}
+
+// DefaultTiming suits links of up to 20 ms and announcements every 5 s.
+var DefaultTiming = Timing{
+	DaemonLease:   2 * time.Second,
+	TargetLease:   15 * time.Second,
+	Drift:         0.02,
+	StartWindow:   2 * time.Second,
+	Transit:       2 * time.Second,
+	RevisionGrace: time.Second,
+	CallerGrace:   10 * time.Second,
+	FullEvery:     time.Minute,
+}
+
+// Protection is a set of mechanisms.
+type Protection uint32
+
+// Mechanisms that a test can switch off.
+const (
+	WithoutElectionWait Protection = 1 << iota // new leaders don't wait for old leases
+	WithoutAttemptCheck                        // reports of older attempts count
+	WithoutBaseCheck                           // changes are accepted on any base
+	WithoutKeyCheck                            // resent keys run again
+	WithoutLeaseWait                           // a silent target's tasks start elsewhere at once
+	WithoutRetiredCheck                        // retired callers are admitted
+	WithoutConfirmation                        // changes are answered before they are in force
+)
+
+// Decider makes the decisions of one leader. The exported fields are set
+// before Begin.
+type Decider struct {
+	State    *registrar.State
+	Rand     *rand.Rand
+	Timing   Timing
+	Cell     string
+	Disabled Protection
+
+	term     registrar.Term
+	policies Policies
+	queue    *queuer.Queue
+	delayed  []delayedTask
+	targets  map[registrar.TargetName]*targetView
+	order    []*placer.Target
+	total    registrar.Need
+	largest  registrar.Need
+	used     map[registrar.CallerName]registrar.Need
+	nextTask registrar.TaskID
+
+	sessions     map[registrar.DaemonName]*session
+	daemonLeases leaser.Table[registrar.DaemonName]
+	targetLeases leaser.Table[registrar.TargetName]
+
+	judge   quarantiner.Judge
+	learned predictor.Table
+	rates   admitter.Rates
+	budget  retrier.Budget[registrar.CallerName]
+	hold    hold
+
+	revision   registrar.Revision // including this round's changes
+	waiting    []waitingChange
+	confirmed  []Confirmation
+	preempting map[registrar.TaskID]time.Time
+	watchers   map[registrar.RequestKey][]registrar.DaemonName
+	deadlines  deadlineList
+	orphans    map[registrar.TaskID]registrar.Millis // queued, with a dead daemon
+	overuse    []overuse
+	cancels    []registrar.TaskID
+	activeJobs map[registrar.JobKey]bool
+	roundPeers map[registrar.JobKey][]*placer.Target
+	ordered    map[registrar.TaskID]time.Time // last order to stop
+	slowTick   time.Time
+	lastTick   time.Time
+	lastExpire time.Time
+	restarts   float64
+	Counters   Counters
+
+	round roundState
+}
+
+// Counters counts what happened since Begin, for metrics and tests.
+type Counters struct {
+	Admitted      int
+	Refused       int
+	Assigned      int
+	Retried       int
+	Preempted     int
+	StaleReports  int
+	Quarantined   int
+	DroppedLate   int
+	LostTargets   int
+	ChangesTaken  int
+	ChangesDenied int
+}
+
+type roundState struct {
+	Round
+	touched map[registrar.TaskID]bool
+	fresh   map[registrar.RequestKey]*registrar.Task
+	changed map[registrar.ChangeID]registrar.Digest
+	jobs    map[registrar.JobKey]bool
+}
+
+type delayedTask struct {
+	id  registrar.TaskID
+	due registrar.Millis
+}
+
+// tickInterval is the time between checks that need no input.
+const tickInterval = 100 * time.Millisecond
+
+// Begin rebuilds the working tables for a leader of the given term. Every
+// lease that an earlier leader may have granted is held to be in force.
+func (d *Decider) Begin(term registrar.Term, now time.Time) {
+	d.term = term
+	d.policies = PoliciesOf(d.State.Policies)
+	d.queue = queuer.New()
+	d.queue.AgeStep = d.policies.AgeStep
+	d.queue.Share = d.share
+	d.delayed = nil
+	d.targets = make(map[registrar.TargetName]*targetView)
+	d.order = nil
+	d.used = make(map[registrar.CallerName]registrar.Need)
+	d.nextTask = d.State.NextTask
+	d.sessions = make(map[registrar.DaemonName]*session)
+	d.preempting = make(map[registrar.TaskID]time.Time)
+	d.watchers = make(map[registrar.RequestKey][]registrar.DaemonName)
+	d.revision = d.State.Revision
+	d.waiting, d.confirmed = nil, nil
+	d.hold = hold{}
+	d.Counters = Counters{}
+	d.deadlines = nil
+	d.orphans = make(map[registrar.TaskID]registrar.Millis)
+	d.overuse, d.cancels = nil, nil
+	d.activeJobs = make(map[registrar.JobKey]bool)
+	d.ordered = make(map[registrar.TaskID]time.Time)
+	d.lastTick = now
+	d.lastExpire = now
+	d.resetRound()
+	d.beginPolicies()
+	d.beginLeases(now)
+	d.beginTasks(now)
+}
+
+func (d *Decider) beginPolicies() {
+	d.judge = quarantiner.Judge{HalfLife: quarantineHalfLife}
+	d.judge.Begin()
+	d.learned = predictor.Table{MinReports: learnReports, Quantile: learnQuantile}
+	d.rates = admitter.Rates{Window: rateWindow}
+	d.budget = retrier.Budget[registrar.CallerName]{}
+	d.refreshPolicies()
+}
+
+const (
+	quarantineHalfLife = time.Minute
+	learnReports       = 5
+	learnQuantile      = 0.9
+	rateWindow         = time.Second
+)
+
+func (d *Decider) refreshPolicies() {
+	d.policies = PoliciesOf(d.State.Policies)
+	p := &d.policies
+	d.queue.AgeStep = p.AgeStep
+	d.judge.MinBlame, d.judge.MaxRate = p.QuarantineBlame, p.QuarantineRate
+	d.judge.FirstPause, d.judge.MaxPause = p.QuarantinePause, p.QuarantineMax
+	d.judge.MaxFraction = p.QuarantineShare
+	d.budget.Ratio, d.budget.Burst = p.RetryRatio, p.RetryBurst
+}
+
+func (d *Decider) beginLeases(now time.Time) {
+	d.daemonLeases.Duration, d.daemonLeases.Drift = d.Timing.DaemonLease, d.Timing.Drift
+	d.targetLeases.Duration, d.targetLeases.Drift = d.Timing.TargetLease, d.Timing.Drift
+	var daemons []registrar.DaemonName
+	var targets []registrar.TargetName
+	if d.Disabled&WithoutElectionWait == 0 {
+		for name := range d.State.Daemons {
+			daemons = append(daemons, name)
+		}
+		for name, t := range d.State.Targets {
+			if t.State == registrar.TargetAlive {
+				targets = append(targets, name)
+			}
+		}
+	}
+	d.daemonLeases.Begin(daemons, now)
+	d.targetLeases.Begin(targets, now)
+}
+
+func (d *Decider) beginTasks(now time.Time) {
+	for name := range d.State.Targets {
+		d.refreshTarget(name, now)
+	}
+	for key := range d.State.Jobs {
+		d.activeJobs[key] = true
+	}
+	ids := make([]registrar.TaskID, 0, len(d.State.Tasks))
+	for id := range d.State.Tasks {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		t := d.State.Tasks[id]
+		if t.Canceled && t.State != registrar.Ended {
+			d.cancels = append(d.cancels, id)
+		}
+		switch t.State {
+		case registrar.Queued:
+			d.enqueue(t, now)
+		case registrar.Assigned:
+			d.used[t.Caller] = d.used[t.Caller].Plus(t.Charge)
+			d.watchDeadline(t)
+		}
+	}
+}
+
+func (d *Decider) resetRound() {
+	d.round = roundState{
+		Round:   Round{Down: make(map[registrar.DaemonName]*Downstream)},
+		touched: make(map[registrar.TaskID]bool),
+		fresh:   make(map[registrar.RequestKey]*registrar.Task),
+		changed: make(map[registrar.ChangeID]registrar.Digest),
+		jobs:    make(map[registrar.JobKey]bool),
+	}
+	d.roundPeers = make(map[registrar.JobKey][]*placer.Target)
+}
+
+// Decide takes in what arrived and returns the decisions. The result must be
+// committed, and Committed called, before the next call. LeaderUntil is the
+// time until which no other leader can have been elected.
+func (d *Decider) Decide(inputs []Input, changes []*Change, leaderUntil, now time.Time) Round {
+	d.resetRound()
+	for i := range inputs {
+		d.takeInput(&inputs[i], leaderUntil, now)
+	}
+	for _, c := range changes {
+		d.takeChange(c, now)
+	}
+	if now.Sub(d.lastTick) >= tickInterval {
+		d.tick(now)
+	}
+	d.popDelayed(now)
+	d.place(now)
+	return d.round.Round
+}
+
+// HasDue reports whether Decide has something to do without any input.
+func (d *Decider) HasDue(now time.Time) bool {
+	return now.Sub(d.lastTick) >= tickInterval
+}
+
+func (d *Decider) tick(now time.Time) {
+	elapsed := now.Sub(d.lastTick)
+	d.lastTick = now
+	d.restarts = min(d.restarts+d.policies.RestartPerSecond*elapsed.Seconds(), max(d.policies.RestartPerSecond, 1))
+	d.lapseDaemons(now)
+	d.lapseTargets(now)
+	d.dropLate(now)
+	d.answerOveruse(now)
+	d.reconcileJobs(now)
+	if now.Sub(d.slowTick) >= slowInterval {
+		d.slowTick = now
+		d.reconcileTargets(now)
+	}
+	d.checkRetirements(now)
+	d.answerChanges(now)
+	if now.Sub(d.lastExpire) >= expireInterval {
+		d.lastExpire = now
+		d.expire(now)
+	}
+}
+
+// slowInterval is the time between checks that go through all targets.
+const slowInterval = 500 * time.Millisecond
+
+const expireInterval = 5 * time.Second
+
+func (d *Decider) expire(now time.Time) {
+	if len(d.State.Tasks) == 0 && len(d.State.Changes) == 0 {
+		return
+	}
+	p := &d.policies
+	if !d.State.HasExpired(p.KeyRetention, p.OnceRetention, p.JobRetention, registrar.MillisOf(now)) {
+		return
+	}
+	d.emit(registrar.RecordsExpired{Repeatable: p.KeyRetention, Once: p.OnceRetention, Jobs: p.JobRetention, Changes: p.ChangeRetention})
+}
+
+func (d *Decider) emit(ev registrar.Event) {
+	d.round.Events = append(d.round.Events, ev)
+}
+
+func (d *Decider) down(name registrar.DaemonName) *Downstream {
+	m := d.round.Down[name]
+	if m == nil {
+		m = &Downstream{}
+		d.round.Down[name] = m
+	}
+	return m
+}
+
+// Committed brings the working tables up to date after the events of a round
+// were applied to the state.
+func (d *Decider) Committed(events []registrar.Event, now time.Time) {
+	for _, ev := range events {
+		d.committed(ev, now)
+	}
+}
+
+func (d *Decider) committed(ev registrar.Event, now time.Time) {
+	switch ev := ev.(type) {
+	case registrar.ConfigChanged:
+		d.refreshPolicies()
+		for name := range d.State.Targets {
+			d.refreshTarget(name, now)
+		}
+		d.applyWithdrawals(ev)
+	case registrar.JobSubmitted:
+		d.activeJobs[ev.Job.KeyOf()] = true
+	case registrar.TaskAdmitted:
+		if t := d.State.Tasks[ev.Task.ID]; t != nil && t.Job != "" {
+			d.enqueue(t, now)
+		}
+	case registrar.TaskRequeued:
+		if t := d.State.Tasks[ev.ID]; t != nil {
+			d.enqueue(t, now)
+		}
+	case registrar.TaskAttached:
+		if it := d.queue.Get(ev.ID); it != nil {
+			it.Daemon, it.Life = ev.Daemon, ev.Life
+		}
+	case registrar.TargetAnnounced:
+		d.refreshTarget(ev.Target.Name, now)
+	case registrar.TargetMarked:
+		d.refreshTarget(ev.Name, now)
+	case registrar.TargetProved:
+		d.refreshTarget(ev.Name, now)
+	}
+}
+
+// share returns the dominant share of a caller over its weight.
+func (d *Decider) share(name registrar.CallerName) float64 {
+	weight := 1.0
+	if c := d.State.Callers[name]; c != nil && c.Weight > 0 {
+		weight = float64(c.Weight)
+	}
+	return d.used[name].DominantShare(d.total) / weight
+}
+
+// live returns a task that has not been touched in this round.
+func (d *Decider) live(id registrar.TaskID) *registrar.Task {
+	t := d.State.Tasks[id]
+	if t == nil || t.State == registrar.Ended || d.round.touched[id] {
+		return nil
+	}
+	return t
+}
--- /dev/null
+++ b/internal/control/decider/explain.go
@@ -0,0 +1,102 @@
+package decider
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	"masticroad/internal/control/admitter"
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file tells operators why a task runs where it does or why it waits, in
+// the terms of the policies. Example: "waits: no target has 16000m cpu free;
+// the one with the most has 12000m".
+
+func hexChain(c registrar.Chain) string { return hex.EncodeToString(c[:]) }
+
+// Explain describes the situation of a task.
+func (d *Decider) Explain(id registrar.TaskID, now time.Time) []string {
+	t := d.State.Tasks[id]
+	if t == nil {
+		return []string{fmt.Sprintf("task %d is not known", id)}
+	}
+	lines := []string{fmt.Sprintf("task %d of caller %s, class %s, needs %s", t.ID, t.Caller, t.Class, t.Need)}
+	switch t.State {
+	case registrar.Ended:
+		lines = append(lines, fmt.Sprintf("ended as %s since %s: %s", t.Outcome, t.Since.Time().Format(time.RFC3339), orNone(t.Reason)))
+	case registrar.Assigned:
+		lines = append(lines, d.explainAssigned(t)...)
+	case registrar.Queued:
+		lines = append(lines, d.explainQueued(t, now)...)
+	}
+	return lines
+}
+
+func orNone(text string) string {
+	if text == "" {
+		return "no reason given"
+	}
+	return text
+}
+
+func (d *Decider) explainAssigned(t *registrar.Task) []string {
+	lines := []string{
+		fmt.Sprintf("attempt %d runs on target %s by policy Placement.%s = %s", t.Attempt, t.Target, t.Class, d.policies.Placement[t.Class]),
+		fmt.Sprintf("charged %s", t.Charge),
+	}
+	if t.Charge != t.Need {
+		lines = append(lines, "charged above its declared need by policy Learn.Needs")
+	}
+	if t.Stopping {
+		lines = append(lines, "being stopped: "+t.Reason)
+	}
+	return lines
+}
+
+func (d *Decider) explainQueued(t *registrar.Task, now time.Time) []string {
+	if t.NotBefore > registrar.MillisOf(now) {
+		return []string{fmt.Sprintf("waits until %s before its next attempt: %s", t.NotBefore.Time().Format(time.RFC3339), orNone(t.Reason))}
+	}
+	it := d.item(t)
+	charge := d.charge(it)
+	if c := d.State.Callers[t.Caller]; c != nil && !admitter.QuotaAllows(c.Quota, d.used[t.Caller], charge) {
+		return []string{fmt.Sprintf("waits: its caller uses %s of a quota of %s", d.used[t.Caller], c.Quota)}
+	}
+	if t.Kind == registrar.Request && d.sessionFor(t.Daemon, t.Life) == nil {
+		return []string{fmt.Sprintf("waits: daemon %s, which holds its body, is not connected", t.Daemon)}
+	}
+	if miss, ok := placer.NearestMiss(d.order, &placer.Want{Need: charge, Region: t.Region}); !ok {
+		return []string{fmt.Sprintf("can't run on any target: needs %d %s; the largest target has %d", miss.Needed, miss.Resource, miss.Largest)}
+	}
+	return d.explainWaiting(t, charge, now)
+}
+
+func (d *Decider) explainWaiting(t *registrar.Task, charge registrar.Need, now time.Time) []string {
+	var most registrar.Need
+	var held []string
+	open := 0
+	for _, p := range d.order {
+		if !p.Open || t.Region != "" && t.Region != p.Region {
+			continue
+		}
+		open++
+		most = most.Max(p.Free)
+		if d.hold.targets[p.Name] {
+			held = append(held, string(p.Name))
+		}
+	}
+	if open == 0 {
+		return []string{"waits: no target takes new work"}
+	}
+	lines := []string{fmt.Sprintf("waits: %d targets take work; the most that any has free is %s", open, most)}
+	if charge.FitsIn(most) {
+		lines = append(lines, "no single target has all of its need free, or other work goes first by class and share")
+	}
+	if d.hold.active(now) && len(held) > 0 {
+		lines = append(lines, fmt.Sprintf("room is held on %s for task %d by policy AllAtOnce.HoldTime", strings.Join(held, ", "), d.hold.item))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/control/decider/hold.go
@@ -0,0 +1,152 @@
+package decider
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/queuer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file places all-at-once jobs. A job that does not fit holds room on
+// chosen targets until it fits or the hold expires; one job holds at a time,
+// and the next hold goes to another job, so two large jobs can't block each
+// other. Smaller work still goes to held targets when it is expected to end
+// before the job could start.
+
+type hold struct {
+	item    registrar.TaskID
+	targets map[registrar.TargetName]bool
+	until   time.Time
+	startAt time.Time // expected
+	last    registrar.TaskID
+	rest    time.Time // no new hold for the same job before this time
+}
+
+func (h *hold) active(now time.Time) bool {
+	return h.item != 0 && now.Before(h.until)
+}
+
+// blocks returns the filter that keeps other work off held targets.
+func (h *hold) blocks(it *queuer.Item, now time.Time) func(*placer.Target) bool {
+	if it.ID == h.item {
+		return nil
+	}
+	fillsGap := it.RunTime > 0 && now.Add(it.RunTime).Before(h.startAt)
+	if fillsGap {
+		return nil
+	}
+	return func(t *placer.Target) bool { return h.targets[t.Name] }
+}
+
+// placeGroup assigns every task of a job, or none.
+func (d *Decider) placeGroup(r *queuer.Round, it *queuer.Item, now time.Time) bool {
+	charge := d.charge(it)
+	if !d.quotaAllows(it, charge.Times(it.Count)) {
+		r.Skip(it)
+		return false
+	}
+	w := d.want(it, charge, now)
+	chosen := placer.PickAll(d.order, w, it.Count)
+	if chosen == nil {
+		d.beginHold(it, charge, now)
+		r.Skip(it)
+		return false
+	}
+	for _, target := range chosen {
+		if d.dispatcher(target.Name, now) == nil {
+			r.Skip(it)
+			return false
+		}
+	}
+	for i, target := range chosen {
+		d.assign(it, it.Tasks[i], target, charge, now)
+	}
+	d.queue.Remove(it.ID)
+	if d.hold.item == it.ID {
+		d.hold = hold{last: it.ID}
+	}
+	return true
+}
+
+func (d *Decider) beginHold(it *queuer.Item, charge registrar.Need, now time.Time) {
+	h := &d.hold
+	if h.active(now) {
+		return
+	}
+	if h.item != 0 {
+		h.last, h.rest = h.item, now.Add(d.policies.HoldTime)
+		h.item = 0
+	}
+	if h.last == it.ID && now.Before(h.rest) && d.otherGroupWaits(it) {
+		return
+	}
+	targets, startAt := d.chooseHeld(it, charge, now)
+	if targets == nil {
+		return
+	}
+	*h = hold{item: it.ID, targets: targets, until: now.Add(d.policies.HoldTime), startAt: startAt, last: h.last, rest: h.rest}
+}
+
+func (d *Decider) otherGroupWaits(it *queuer.Item) bool {
+	found := false
+	d.queue.Each(func(other *queuer.Item) bool {
+		found = other.Kind == registrar.AllAtOnce && other.ID != it.ID
+		return !found
+	})
+	return found
+}
+
+// chooseHeld picks the targets that are expected to have room first.
+func (d *Decider) chooseHeld(it *queuer.Item, charge registrar.Need, now time.Time) (map[registrar.TargetName]bool, time.Time) {
+	type candidate struct {
+		name   registrar.TargetName
+		places int
+		free   time.Time
+	}
+	var list []candidate
+	for _, p := range d.order {
+		v := d.targets[p.Name]
+		if !p.Open || it.Region != "" && it.Region != p.Region {
+			continue
+		}
+		if n := placer.Places(p, charge, slotsOf(v.rec)); n > 0 {
+			list = append(list, candidate{p.Name, n, d.freeAt(p.Name, now)})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(a.free.UnixNano(), b.free.UnixNano()) })
+	held := make(map[registrar.TargetName]bool)
+	places, startAt := 0, now
+	for _, c := range list {
+		if places >= it.Count {
+			break
+		}
+		held[c.name] = true
+		places += c.places
+		startAt = c.free
+	}
+	if places < it.Count {
+		return nil, now
+	}
+	return held, startAt
+}
+
+// freeAt returns when the tasks on a target are expected to have ended.
+func (d *Decider) freeAt(name registrar.TargetName, now time.Time) time.Time {
+	end := now
+	for _, t := range d.State.ByTarget[name] {
+		run := d.learned.RunTime(workOf(t), t.RunTime, learnQuantile)
+		if t.Kind == registrar.Services || run == 0 {
+			run = unknownRunTime
+		}
+		if e := t.Since.Time().Add(run); e.After(end) {
+			end = e
+		}
+	}
+	return end
+}
+
+// unknownRunTime stands for the run time of work that does not say.
+const unknownRunTime = time.Hour
--- /dev/null
+++ b/internal/control/decider/jobs.go
@@ -0,0 +1,210 @@
+package decider
+
+import (
+	"fmt"
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file creates, queues and ends the tasks of jobs by comparing what a job
+// declares with what exists. Example: a service that declares 3 replicas and
+// has 2 unfinished tasks gets a third one.
+
+const (
+	// MaxTasksPerJob bounds the tasks of one job.
+	MaxTasksPerJob = 10000
+	tasksPerRound  = 256
+	// JobKeyPrefix marks replies that are about a job.
+	JobKeyPrefix = "job/"
+)
+
+func (d *Decider) takeJob(r *JobRequest) {
+	// The daemon repeats the request until the job shows in its tables.
+	j := r.Job
+	if old := d.State.Jobs[j.KeyOf()]; old != nil {
+		return
+	}
+	if d.round.jobs[j.KeyOf()] || CheckJob(d.State, &j) != "" {
+		return
+	}
+	d.round.jobs[j.KeyOf()] = true
+	d.emit(registrar.JobSubmitted{Job: j})
+}
+
+// CheckJob returns why a job is refused, or an empty text.
+func CheckJob(s *registrar.State, j *registrar.Job) string {
+	c := s.Callers[j.Caller]
+	switch {
+	case c == nil:
+		return fmt.Sprintf("caller %q does not exist", j.Caller)
+	case c.State != registrar.CallerActive:
+		return fmt.Sprintf("caller %q is retired", j.Caller)
+	case j.Name == "":
+		return "a job needs a name"
+	case j.Count < 1 && j.Kind != registrar.Services || j.Count < 0 || j.Count > MaxTasksPerJob:
+		return fmt.Sprintf("a job has 1 to %d tasks, not %d", MaxTasksPerJob, j.Count)
+	case j.Need.CPU <= 0 || j.Need.Memory <= 0 || j.Need.Accelerators < 0:
+		return "a job needs processors and memory"
+	case j.Kind == registrar.Request || j.Kind > registrar.AllAtOnce:
+		return "a job is a Service, a Batch or AllAtOnce"
+	}
+	return ""
+}
+
+func (d *Decider) reconcileJobs(now time.Time) {
+	for key := range d.activeJobs {
+		j := d.State.Jobs[key]
+		if j == nil {
+			delete(d.activeJobs, key)
+			continue
+		}
+		d.reconcileJob(key, j, now)
+	}
+}
+
+func (d *Decider) reconcileJob(key registrar.JobKey, j *registrar.Job, now time.Time) {
+	tasks := d.State.ByJob[key]
+	if j.Canceled || d.callerGone(j.Caller) {
+		if len(tasks) == 0 {
+			delete(d.activeJobs, key)
+		}
+		d.cancelTasks(tasks, "job canceled", now)
+		return
+	}
+	switch j.Kind {
+	case registrar.Services:
+		d.reconcileService(j, tasks, now)
+	case registrar.Batches:
+		d.makeTasks(j, min(j.Count-j.Made, tasksPerRound), now)
+	case registrar.AllAtOnce:
+		d.reconcileGroup(j, tasks, now)
+	}
+	if j.Kind != registrar.Services && j.Done+j.Failed >= j.Count {
+		delete(d.activeJobs, key)
+	}
+}
+
+func (d *Decider) cancelTasks(tasks map[registrar.TaskID]*registrar.Task, reason string, now time.Time) {
+	n := 0
+	for _, t := range tasks {
+		if t.State == registrar.Assigned && t.Stopping && t.Canceled {
+			continue
+		}
+		d.cancelTask(t, reason, now)
+		if n++; n >= cancelsPerRound {
+			return
+		}
+	}
+}
+
+// cancelsPerRound bounds the work that a wave of cancellations makes at once.
+const cancelsPerRound = 2000
+
+func (d *Decider) reconcileService(j *registrar.Job, tasks map[registrar.TaskID]*registrar.Task, now time.Time) {
+	wanted, old := 0, (*registrar.Task)(nil)
+	moving := false
+	for _, t := range tasks {
+		if t.Canceled {
+			moving = true
+			continue
+		}
+		wanted++
+		moving = moving || t.State == registrar.Queued
+		if t.Content != j.Digest && (old == nil || t.ID < old.ID) {
+			old = t
+		}
+	}
+	switch {
+	case wanted < j.Count:
+		d.makeTasks(j, min(j.Count-wanted, tasksPerRound), now)
+	case wanted > j.Count:
+		d.stopSurplus(tasks, wanted-j.Count, now)
+	case old != nil && !moving:
+		d.cancelTask(old, "replaced by a newer declaration", now)
+	}
+}
+
+func (d *Decider) stopSurplus(tasks map[registrar.TaskID]*registrar.Task, n int, now time.Time) {
+	var list []*registrar.Task
+	for _, t := range tasks {
+		if !t.Canceled {
+			list = append(list, t)
+		}
+	}
+	registrar.SortTasks(list)
+	for i := len(list) - 1; i >= 0 && n > 0; i-- {
+		d.cancelTask(list[i], "fewer replicas declared", now)
+		n--
+	}
+}
+
+// makeTasks admits the next n tasks of a job.
+func (d *Decider) makeTasks(j *registrar.Job, n int, now time.Time) {
+	for i := range n {
+		t := registrar.Task{
+			ID: d.nextTask, Caller: j.Caller, Content: j.Digest, Kind: j.Kind, Class: j.Class, Need: j.Need,
+			Once: j.Once, Submitted: registrar.MillisOf(now), Deadline: j.Deadline, Job: j.Name,
+			Ordinal: j.Made + i, RunTime: j.RunTime, Region: j.Region,
+		}
+		d.nextTask++
+		d.emit(registrar.TaskAdmitted{Task: t})
+	}
+}
+
+// reconcileGroup queues an all-at-once job when all its unfinished tasks wait,
+// and stops the others when one of them was lost.
+func (d *Decider) reconcileGroup(j *registrar.Job, tasks map[registrar.TaskID]*registrar.Task, now time.Time) {
+	if j.Made == 0 {
+		d.makeTasks(j, j.Count, now)
+		return
+	}
+	var queued, assigned []*registrar.Task
+	for _, t := range tasks {
+		if t.State == registrar.Queued {
+			queued = append(queued, t)
+			continue
+		}
+		assigned = append(assigned, t)
+	}
+	if len(queued) == 0 {
+		return
+	}
+	registrar.SortTasks(queued)
+	if len(assigned) == 0 {
+		d.queueGroup(queued, now)
+		return
+	}
+	for _, t := range assigned {
+		if !t.Stopping {
+			d.stop(t, "another task of the job was lost", false, VerbCheckpoint, now)
+		}
+	}
+}
+
+func (d *Decider) queueGroup(tasks []*registrar.Task, now time.Time) {
+	first := tasks[0]
+	if d.queue.Get(first.ID) != nil {
+		return
+	}
+	for _, t := range tasks {
+		if t.NotBefore > registrar.MillisOf(now) {
+			return
+		}
+	}
+	it := d.item(first)
+	it.Count = len(tasks)
+	for _, t := range tasks {
+		it.Tasks = append(it.Tasks, t.ID)
+	}
+	d.queue.Push(it)
+}
+
+func (d *Decider) cancelJob(key registrar.JobKey, reason string, now time.Time) {
+	j := d.State.Jobs[key]
+	if j == nil || j.Canceled {
+		return
+	}
+	d.emit(registrar.JobCanceled(key))
+	d.cancelTasks(d.State.ByJob[key], reason, now)
+}
--- /dev/null
+++ b/internal/control/decider/place.go
@@ -0,0 +1,207 @@
+package decider
+
+import (
+	"slices"
+	"time"
+
+	"masticroad/internal/control/admitter"
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/queuer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file places waiting work. A round of the queue offers items in order;
+// each is assigned, or refused for the rest of the round. Example: an urgent
+// quote that finds no room makes a batch task on one target stop, and is
+// placed there once the stop is confirmed.
+
+// maxAssignments bounds the work of one round.
+const maxAssignments = 512
+
+func (d *Decider) place(now time.Time) {
+	if d.queue.Len() == 0 {
+		return
+	}
+	r := d.queue.Begin(now)
+	for n := 0; n < maxAssignments; {
+		it := r.Next()
+		if it == nil {
+			return
+		}
+		if it.Deadline > 0 && registrar.MillisOf(now) >= it.Deadline {
+			r.Skip(it) // the next tick drops it
+			continue
+		}
+		if d.tryPlace(r, it, now) {
+			n++
+		}
+	}
+}
+
+func (d *Decider) tryPlace(r *queuer.Round, it *queuer.Item, now time.Time) bool {
+	if it.Kind == registrar.AllAtOnce {
+		return d.placeGroup(r, it, now)
+	}
+	if it.Kind == registrar.Request && d.sessionFor(it.Daemon, it.Life) == nil {
+		d.noteOrphan(it, now)
+		r.Skip(it)
+		return false
+	}
+	charge := d.charge(it)
+	if !d.quotaAllows(it, charge) {
+		r.Skip(it)
+		return false
+	}
+	w := d.want(it, charge, now)
+	target := placer.PickNamed(d.policies.Placement[it.Class], d.order, w)
+	if target == nil {
+		d.preempt(it, charge, now)
+		r.Refuse(it)
+		return false
+	}
+	if !d.assign(it, it.ID, target, charge, now) {
+		r.Skip(it)
+		return false
+	}
+	d.queue.Remove(it.ID)
+	return true
+}
+
+func (d *Decider) noteOrphan(it *queuer.Item, now time.Time) {
+	if _, ok := d.orphans[it.ID]; !ok {
+		d.orphans[it.ID] = registrar.MillisOf(now)
+	}
+}
+
+func (d *Decider) charge(it *queuer.Item) registrar.Need {
+	if !d.policies.LearnNeeds {
+		return it.Need
+	}
+	w := workOfItem(it)
+	return d.learned.Charge(w, it.Need, d.largest)
+}
+
+// quotaAllows reports whether the caller's quota has room; batch work may use
+// idle capacity above it.
+func (d *Decider) quotaAllows(it *queuer.Item, charge registrar.Need) bool {
+	c := d.State.Callers[it.Caller]
+	if c == nil {
+		return false
+	}
+	if admitter.QuotaAllows(c.Quota, d.used[it.Caller], charge) {
+		return true
+	}
+	return d.policies.Borrow && it.Class == registrar.Batch && it.Kind != registrar.Services
+}
+
+func (d *Decider) want(it *queuer.Item, charge registrar.Need, now time.Time) *placer.Want {
+	w := &placer.Want{Need: charge, Region: it.Region, Once: it.Once}
+	if it.Kind == registrar.Services {
+		w.Peers = d.peersOf(it)
+	}
+	if d.hold.active(now) && it.Class != registrar.Urgent {
+		w.Blocked = d.hold.blocks(it, now)
+	}
+	return w
+}
+
+func (d *Decider) peersOf(it *queuer.Item) *placer.Peers {
+	p := &placer.Peers{}
+	for _, t := range d.State.ByJob[registrar.JobKey{Caller: it.Caller, Name: it.Job}] {
+		if v := d.targets[t.Target]; t.State == registrar.Assigned && v != nil {
+			p.Add(v.place)
+		}
+	}
+	for _, a := range d.roundPeers[registrar.JobKey{Caller: it.Caller, Name: it.Job}] {
+		p.Add(a)
+	}
+	return p
+}
+
+// assign charges the target and tells the daemon.
+func (d *Decider) assign(it *queuer.Item, id registrar.TaskID, target *placer.Target, charge registrar.Need, now time.Time) bool {
+	s := d.actor(it, target.Name, now)
+	if s == nil {
+		return false
+	}
+	t := d.taskOf(it, id)
+	if t == nil {
+		return false
+	}
+	target.Charge(charge)
+	target.Probing = false
+	d.used[it.Caller] = d.used[it.Caller].Plus(charge)
+	d.round.touched[id] = true
+	delete(d.preempting, id)
+	d.Counters.Assigned++
+	d.rates.Started(it.Class, now)
+	attempt := t.Attempt + 1
+	d.emit(registrar.TaskAssigned{
+		ID: id, Attempt: attempt, Target: target.Name, Daemon: s.daemon.Name, Life: s.daemon.Life, Charge: charge,
+	})
+	m := d.down(s.daemon.Name)
+	m.Assignments = append(m.Assignments, d.assignment(t, attempt, target.Name, registrar.MillisOf(now)))
+	if it.Kind == registrar.Services {
+		key := registrar.JobKey{Caller: it.Caller, Name: it.Job}
+		d.roundPeers[key] = append(d.roundPeers[key], target)
+	}
+	return true
+}
+
+// actor returns the daemon that starts an item: for a request the one that
+// holds its body.
+func (d *Decider) actor(it *queuer.Item, target registrar.TargetName, now time.Time) *session {
+	if it.Kind == registrar.Request {
+		return d.sessionFor(it.Daemon, it.Life)
+	}
+	return d.dispatcher(target, now)
+}
+
+// taskOf returns the task of an item, which may have been admitted in this
+// round.
+func (d *Decider) taskOf(it *queuer.Item, id registrar.TaskID) *registrar.Task {
+	if t := d.State.Tasks[id]; t != nil {
+		if t.State != registrar.Queued || d.round.touched[id] {
+			return nil
+		}
+		return t
+	}
+	return d.round.fresh[registrar.RequestKey{Caller: it.Caller, Key: it.Key}]
+}
+
+func (d *Decider) assignment(t *registrar.Task, attempt registrar.Attempt, target registrar.TargetName, since registrar.Millis) Assignment {
+	a := Assignment{
+		Task: t.ID, Attempt: attempt, Target: target, Caller: t.Caller, Key: t.Key, Kind: t.Kind, Need: t.Need,
+		Job: t.Job, Ordinal: t.Ordinal, Checkpoint: t.Checkpoint, Term: d.term, Once: t.Once,
+		StartBy: since.Add(d.Timing.StartWindow),
+	}
+	if j := d.State.Jobs[registrar.JobKey{Caller: t.Caller, Name: t.Job}]; j != nil && t.Job != "" {
+		a.Payload = j.Payload
+	}
+	return a
+}
+
+// enqueue queues a task of the tables, now or when its delay is over.
+func (d *Decider) enqueue(t *registrar.Task, now time.Time) {
+	if t.Kind == registrar.AllAtOnce {
+		return // reconcileJobs queues the job as a whole
+	}
+	if t.NotBefore > registrar.MillisOf(now) {
+		d.delayed = append(d.delayed, delayedTask{t.ID, t.NotBefore})
+		return
+	}
+	d.queue.Push(d.item(t))
+	d.watchDeadline(t)
+}
+
+func (d *Decider) popDelayed(now time.Time) {
+	at := registrar.MillisOf(now)
+	due := d.delayed
+	d.delayed = slices.DeleteFunc(slices.Clone(due), func(x delayedTask) bool { return x.due <= at })
+	for _, x := range due {
+		if t := d.live(x.id); x.due <= at && t != nil && t.State == registrar.Queued {
+			d.queue.Push(d.item(t))
+			d.watchDeadline(t)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/decider/policy.go
@@ -0,0 +1,175 @@
+package decider
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds the policy knobs and the table of them, which the parser of
+// declarations, the operators' page and the decisions share. A new knob is a
+// field and a line in the table. Example: `SET POLICY Quarantine.Pause = 30s`.
+
+// Policies holds the knobs in force.
+type Policies struct {
+	Placement         [registrar.ClassCount]placer.Name
+	AgeStep           time.Duration
+	QueuePerCaller    int
+	QueuePerClass     int
+	MaxAttempts       int
+	RetryRatio        float64
+	RetryBurst        float64
+	BackoffBase       time.Duration
+	BackoffMax        time.Duration
+	Preemption        bool
+	MaxPreemptions    int
+	Borrow            bool
+	HoldTime          time.Duration
+	QuarantineBlame   float64
+	QuarantineRate    float64
+	QuarantinePause   time.Duration
+	QuarantineMax     time.Duration
+	QuarantineShare   float64
+	KeyRetention      time.Duration
+	OnceRetention     time.Duration
+	JobRetention      time.Duration
+	ChangeRetention   time.Duration
+	LearnNeeds        bool
+	DeadlineAdmission bool
+	RestartPerSecond  float64
+}
+
+// Knob describes one policy.
+type Knob struct {
+	Name    string
+	Default string
+	Effect  string
+	set     func(*Policies, string) error
+}
+
+// Knobs is the table of all policies.
+var Knobs = []Knob{
+	{"Placement.Urgent", "BestFit", "how targets are ranked for urgent work", setPlacement(registrar.Urgent)},
+	{"Placement.Service", "Spread", "how targets are ranked for the replicas of services", setPlacement(registrar.Service)},
+	{"Placement.Standard", "BestFit", "how targets are ranked for standard work", setPlacement(registrar.Standard)},
+	{"Placement.Batch", "BestFit", "how targets are ranked for batches", setPlacement(registrar.Batch)},
+	{"Age.Step", "5m", "waiting time that raises work by one class; 0 turns ageing off", duration(func(p *Policies) *time.Duration { return &p.AgeStep })},
+	{"Queue.PerCaller", "10000", "waiting requests of one caller in a class before refusal", number(func(p *Policies) *int { return &p.QueuePerCaller })},
+	{"Queue.PerClass", "20000", "waiting requests of a class before refusal", number(func(p *Policies) *int { return &p.QueuePerClass })},
+	{"Queue.DeadlineAdmission", "true", "refuse a request whose predicted wait exceeds its deadline", boolean(func(p *Policies) *bool { return &p.DeadlineAdmission })},
+	{"Retry.MaxAttempts", "5", "starts of one task that may fail", number(func(p *Policies) *int { return &p.MaxAttempts })},
+	{"Retry.Ratio", "0.2", "retries allowed for each first attempt of a caller", fraction(func(p *Policies) *float64 { return &p.RetryRatio })},
+	{"Retry.Burst", "50", "retries that a caller may save up", fraction(func(p *Policies) *float64 { return &p.RetryBurst })},
+	{"Retry.BackoffBase", "100ms", "upper bound of the first delay before a retry", duration(func(p *Policies) *time.Duration { return &p.BackoffBase })},
+	{"Retry.BackoffMax", "30s", "upper bound of any delay before a retry", duration(func(p *Policies) *time.Duration { return &p.BackoffMax })},
+	{"Preemption.Enabled", "true", "stop batch work when urgent work finds no room", boolean(func(p *Policies) *bool { return &p.Preemption })},
+	{"Preemption.MaxPerTask", "3", "times that one task may be preempted", number(func(p *Policies) *int { return &p.MaxPreemptions })},
+	{"Quota.Borrow", "true", "batch work may use idle capacity above its caller's quota, and is preempted first", boolean(func(p *Policies) *bool { return &p.Borrow })},
+	{"AllAtOnce.HoldTime", "30s", "time for which room is held for one all-at-once job", duration(func(p *Policies) *time.Duration { return &p.HoldTime })},
+	{"Quarantine.MinBlame", "4", "failures to a target's account before quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineBlame })},
+	{"Quarantine.MaxRate", "0.5", "failures per attempt that lead to quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineRate })},
+	{"Quarantine.Pause", "10s", "time before the first probe; doubled at each step", duration(func(p *Policies) *time.Duration { return &p.QuarantinePause })},
+	{"Quarantine.MaxPause", "10m", "longest time between probes", duration(func(p *Policies) *time.Duration { return &p.QuarantineMax })},
+	{"Quarantine.MaxShare", "0.3", "share of an availability zone's targets that may be in quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineShare })},
+	{"Retention.Repeatable", "2m", "time for which the key of an ended repeatable request is known", duration(func(p *Policies) *time.Duration { return &p.KeyRetention })},
+	{"Retention.Once", "840h", "time for which the key and answer of a request that is not repeatable are known", duration(func(p *Policies) *time.Duration { return &p.OnceRetention })},
+	{"Retention.Jobs", "168h", "time for which an ended job and its tasks are known", duration(func(p *Policies) *time.Duration { return &p.JobRetention })},
+	{"Retention.Changes", "168h", "time for which a change id is known", duration(func(p *Policies) *time.Duration { return &p.ChangeRetention })},
+	{"Learn.Needs", "true", "charge a task with the learned use of its kind where that is above its declared need", boolean(func(p *Policies) *bool { return &p.LearnNeeds })},
+	{"Restart.PerSecond", "200", "tasks of lost targets that are queued again in a second", fraction(func(p *Policies) *float64 { return &p.RestartPerSecond })},
+}
+
+func setPlacement(c registrar.Class) func(*Policies, string) error {
+	return func(p *Policies, text string) error {
+		if !placer.Known(placer.Name(text)) {
+			return fmt.Errorf("%q is not one of %s", text, strings.Join(placer.Names(), ", "))
+		}
+		p.Placement[c] = placer.Name(text)
+		return nil
+	}
+}
+
+func duration(field func(*Policies) *time.Duration) func(*Policies, string) error {
+	return func(p *Policies, text string) error {
+		d, err := time.ParseDuration(text)
+		if err != nil || d < 0 {
+			return fmt.Errorf("%q is not a duration such as 30s or 5m", text)
+		}
+		*field(p) = d
+		return nil
+	}
+}
+
+func number(field func(*Policies) *int) func(*Policies, string) error {
+	return func(p *Policies, text string) error {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 0 {
+			return fmt.Errorf("%q is not a whole number of at least 0", text)
+		}
+		*field(p) = n
+		return nil
+	}
+}
+
+func fraction(field func(*Policies) *float64) func(*Policies, string) error {
+	return func(p *Policies, text string) error {
+		f, err := strconv.ParseFloat(text, 64)
+		if err != nil || f < 0 || f > 1e9 {
+			return fmt.Errorf("%q is not a number of at least 0", text)
+		}
+		*field(p) = f
+		return nil
+	}
+}
+
+func boolean(field func(*Policies) *bool) func(*Policies, string) error {
+	return func(p *Policies, text string) error {
+		b, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("%q is not true or false", text)
+		}
+		*field(p) = b
+		return nil
+	}
+}
+
+// CheckPolicy reports whether name is a knob and value suits it.
+func CheckPolicy(name, value string) error {
+	for _, k := range Knobs {
+		if strings.EqualFold(k.Name, name) {
+			var p Policies
+			if err := k.set(&p, value); err != nil {
+				return fmt.Errorf("policy %s: %w", k.Name, err)
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("policy %q does not exist", name)
+}
+
+// CanonicalPolicy returns the name of a knob as the table spells it.
+func CanonicalPolicy(name string) string {
+	for _, k := range Knobs {
+		if strings.EqualFold(k.Name, name) {
+			return k.Name
+		}
+	}
+	return name
+}
+
+// PoliciesOf returns the knobs in force: the defaults with the given values on
+// top.
+func PoliciesOf(values map[string]string) Policies {
+	var p Policies
+	for _, k := range Knobs {
+		text, ok := values[k.Name]
+		if !ok || k.set(&p, text) != nil {
+			_ = k.set(&p, k.Default) // a default always suits its knob
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/internal/control/decider/preempt.go
@@ -0,0 +1,132 @@
+package decider
+
+import (
+	"time"
+
+	"masticroad/internal/control/admitter"
+	"masticroad/internal/control/predictor"
+	"masticroad/internal/control/queuer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file makes room for urgent work: batch tasks are told to checkpoint and
+// stop. The victims are on one target, lose the least work, and none is chosen
+// more often than a bound. Example: of a batch that ran for an hour and one
+// that ran for a minute, the second one is stopped.
+
+// preemptAgain is the time after which a second room is made for the same
+// item.
+const preemptAgain = 5 * time.Second
+
+func workOfItem(it *queuer.Item) predictor.Work {
+	return predictor.Work{Caller: it.Caller, Job: it.Job, Class: it.Class}
+}
+
+func (d *Decider) preempt(it *queuer.Item, charge registrar.Need, now time.Time) {
+	if !d.policies.Preemption || it.Class != registrar.Urgent && !d.ownsQuota(it, charge) {
+		return
+	}
+	if now.Before(d.preempting[it.ID]) {
+		return
+	}
+	victims := d.cheapestVictims(it, charge, now)
+	if victims == nil {
+		return
+	}
+	d.preempting[it.ID] = now.Add(preemptAgain)
+	d.Counters.Preempted += len(victims)
+	for _, t := range victims {
+		d.stop(t, reasonPreempted, false, VerbCheckpoint, now)
+	}
+}
+
+// ownsQuota reports whether standard work asks for capacity within its quota
+// that others may have borrowed.
+func (d *Decider) ownsQuota(it *queuer.Item, charge registrar.Need) bool {
+	c := d.State.Callers[it.Caller]
+	if c == nil || c.Quota.IsZero() || !d.policies.Borrow || it.Class == registrar.Batch {
+		return false
+	}
+	return admitter.QuotaAllows(c.Quota, d.used[it.Caller], charge)
+}
+
+// cheapestVictims returns the tasks to stop on the target where that loses the
+// least.
+func (d *Decider) cheapestVictims(it *queuer.Item, charge registrar.Need, now time.Time) []*registrar.Task {
+	var best []*registrar.Task
+	bestLoss := 0.0
+	for _, p := range d.order {
+		if !p.Open || it.Region != "" && it.Region != p.Region || !charge.FitsIn(p.Capacity) {
+			continue
+		}
+		victims, loss := d.victimsOn(p.Name, it, p.Free, p.FreeSlots, charge, now)
+		if victims != nil && (best == nil || loss < bestLoss) {
+			best, bestLoss = victims, loss
+		}
+	}
+	return best
+}
+
+func (d *Decider) victimsOn(name registrar.TargetName, it *queuer.Item, free registrar.Need, slots int, charge registrar.Need, now time.Time) ([]*registrar.Task, float64) {
+	var chosen []*registrar.Task
+	loss := 0.0
+	taken := make(map[registrar.TaskID]bool)
+	for !charge.FitsIn(free) || slots <= 0 {
+		t, cost := d.cheapestOn(name, it, taken, now)
+		if t == nil {
+			return nil, 0
+		}
+		taken[t.ID] = true
+		chosen = append(chosen, t)
+		loss += cost
+		free = free.Plus(t.Charge)
+		slots++
+	}
+	return chosen, loss
+}
+
+func (d *Decider) cheapestOn(name registrar.TargetName, it *queuer.Item, taken map[registrar.TaskID]bool, now time.Time) (*registrar.Task, float64) {
+	var best *registrar.Task
+	bestLoss := 0.0
+	for _, t := range d.State.ByTarget[name] {
+		if taken[t.ID] || !d.mayPreempt(t, it) {
+			continue
+		}
+		loss := d.lossOf(t, now)
+		if best == nil || loss < bestLoss || loss == bestLoss && t.ID < best.ID {
+			best, bestLoss = t, loss
+		}
+	}
+	return best, bestLoss
+}
+
+func (d *Decider) mayPreempt(t *registrar.Task, it *queuer.Item) bool {
+	if t.Once || t.Stopping || t.Kind == registrar.Services || t.Kind == registrar.AllAtOnce {
+		return false
+	}
+	if d.round.touched[t.ID] || t.Preempted >= d.policies.MaxPreemptions || t.Class <= it.Class {
+		return false
+	}
+	if it.Class == registrar.Urgent {
+		return t.Class == registrar.Batch
+	}
+	return t.Class == registrar.Batch && d.borrows(t.Caller)
+}
+
+func (d *Decider) borrows(name registrar.CallerName) bool {
+	c := d.State.Callers[name]
+	return c != nil && !admitter.QuotaAllows(c.Quota, d.used[name], registrar.Need{})
+}
+
+// lossOf returns the processor seconds that are lost with an attempt. Each
+// earlier preemption counts as more loss, and borrowed capacity as less.
+func (d *Decider) lossOf(t *registrar.Task, now time.Time) float64 {
+	ran := now.Sub(t.Since.Time()).Seconds()
+	loss := ran * float64(max(t.Charge.CPU, 1)) / 1000 * float64(1+t.Preempted)
+	if d.borrows(t.Caller) {
+		loss *= borrowedLoss
+	}
+	return loss
+}
+
+const borrowedLoss = 0.1
--- /dev/null
+++ b/internal/control/decider/reports.go
@@ -0,0 +1,279 @@
+package decider
+
+import (
+	"time"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/control/retrier"
+)
+
+// This file turns the results of attempts into outcomes, retries and freed
+// capacity. A report counts only for the present attempt of its task. Example:
+// an answer of attempt 1 that arrives while attempt 2 runs is counted as stale
+// and changes nothing.
+
+func (d *Decider) takeReport(r *Report, now time.Time) {
+	t := d.live(r.Task)
+	if t == nil || t.State != registrar.Assigned {
+		d.Counters.StaleReports++
+		return
+	}
+	if t.Attempt != r.Attempt && d.Disabled&WithoutAttemptCheck == 0 {
+		d.Counters.StaleReports++
+		return
+	}
+	if r.Usage != nil {
+		d.takeUsage(t, *r.Usage)
+	}
+	d.observe(t, r, now)
+	switch r.Result {
+	case ResultDone:
+		d.finish(t, r, now)
+	case ResultFailed:
+		d.failed(t, r, now)
+	case ResultNotStarted, ResultRefused:
+		d.notStarted(t, r, now)
+	case ResultAbsent:
+		d.absent(t, r, now)
+	case ResultStopped:
+		d.stopped(t, r, now)
+	case ResultSilent:
+		d.silent(t, now)
+	}
+}
+
+// observe updates what is learned of the target and of the kind of work.
+func (d *Decider) observe(t *registrar.Task, r *Report, now time.Time) {
+	failed := r.Result == ResultFailed || r.Result == ResultNotStarted
+	if !failed && r.Result != ResultDone {
+		return
+	}
+	if r.Result == ResultDone && r.RunTime > 0 {
+		d.learned.AddRunTime(workOf(t), r.RunTime)
+	}
+	rec := d.State.Targets[t.Target]
+	if rec == nil {
+		return
+	}
+	verdict := d.judge.Observe(workOf(t), t.Target, failed, rec.Quarantine, now)
+	switch {
+	case rec.Quarantine > 0 && failed:
+		d.quarantine(rec, rec.Quarantine+1, now)
+	case rec.Quarantine > 0:
+		d.judge.Clear(rec.Name)
+		d.markQuarantine(rec, 0, 0)
+	case verdict.Quarantine:
+		d.quarantine(rec, verdict.Step, now)
+	}
+}
+
+func (d *Decider) quarantine(rec *registrar.Target, step int, now time.Time) {
+	in, total := 0, 0
+	for _, t := range d.State.Targets {
+		if t.Zone != rec.Zone || t.State != registrar.TargetAlive {
+			continue
+		}
+		total++
+		if t.Quarantine > 0 && t.Name != rec.Name {
+			in++
+		}
+	}
+	if !d.judge.Allowed(in, total) {
+		return
+	}
+	d.Counters.Quarantined++
+	pause := min(d.policies.QuarantinePause<<min(step-1, 16), d.policies.QuarantineMax)
+	d.markQuarantine(rec, step, registrar.MillisOf(now.Add(pause)))
+}
+
+func (d *Decider) markQuarantine(rec *registrar.Target, step int, probeAfter registrar.Millis) {
+	d.emit(registrar.TargetMarked{Name: rec.Name, State: rec.State, Quarantine: step, ProbeAfter: probeAfter})
+	if v := d.targets[rec.Name]; v != nil && step > 0 {
+		v.place.Open, v.place.Probing = false, false
+	}
+}
+
+func (d *Decider) takeUsage(t *registrar.Task, use registrar.Need) {
+	if !use.IsZero() {
+		d.learned.AddUsage(workOf(t), use)
+	}
+	d.limitUsage(t, use)
+}
+
+// finish records a whole answer. The answer itself is kept only for requests
+// that are not repeatable.
+func (d *Decider) finish(t *registrar.Task, r *Report, now time.Time) {
+	ev := registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.Done, Status: r.Status}
+	if t.Once {
+		ev.Answer = r.Answer
+	}
+	if t.Kind == registrar.Services && !t.Canceled {
+		d.requeue(t, registrar.TaskRequeued{Reason: "service ended", Failed: true}, now)
+		return
+	}
+	d.end(t, ev, now)
+	if r.ByTarget && t.Kind == registrar.Request {
+		ended := *t
+		ended.Outcome, ended.Answer, ended.Status = ev.Outcome, ev.Answer, ev.Status
+		d.notifyHolder(&ended)
+	}
+}
+
+// failed retries a repeatable task within its bounds.
+func (d *Decider) failed(t *registrar.Task, r *Report, now time.Time) {
+	if t.Kind == registrar.Services && !t.Canceled {
+		d.requeue(t, registrar.TaskRequeued{Reason: r.Reason, Failed: true}, now)
+		return
+	}
+	if d.mayRetry(t, now) {
+		d.requeue(t, registrar.TaskRequeued{Reason: r.Reason, Failed: true}, now)
+		return
+	}
+	d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.Failed, Reason: r.Reason, Status: r.Status}, now)
+}
+
+func (d *Decider) mayRetry(t *registrar.Task, now time.Time) bool {
+	if t.Once || t.Canceled || t.Failures+1 >= d.maxAttempts(t) {
+		return false
+	}
+	if t.Deadline > 0 && registrar.MillisOf(now) >= t.Deadline {
+		return false
+	}
+	if d.callerGone(t.Caller) || d.judge.FaultOfWork(workOf(t), minTargetsForFault) && t.Failures > 0 {
+		return false
+	}
+	return d.budget.Spend(t.Caller)
+}
+
+const minTargetsForFault = 3
+
+func (d *Decider) maxAttempts(t *registrar.Task) int {
+	if j := d.State.Jobs[registrar.JobKey{Caller: t.Caller, Name: t.Job}]; j != nil && j.Retries > 0 {
+		return j.Retries + 1
+	}
+	return d.policies.MaxAttempts
+}
+
+// notStarted handles an attempt of which no byte was sent.
+func (d *Decider) notStarted(t *registrar.Task, r *Report, now time.Time) {
+	switch {
+	case t.Canceled:
+		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: neverOutcome(t), Reason: t.Reason}, now)
+	case t.Once:
+		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.NotRun, Reason: r.Reason}, now)
+	default:
+		d.requeue(t, registrar.TaskRequeued{Reason: r.Reason, Failed: r.Result == ResultNotStarted}, now)
+	}
+}
+
+// neverOutcome is the outcome of a task whose present attempt never started.
+func neverOutcome(t *registrar.Task) registrar.Outcome {
+	if t.Attempt == 1 {
+		return registrar.NotRun
+	}
+	return registrar.Failed
+}
+
+// absent handles an attempt that surely does not run any more. Whether it ran
+// is not known.
+func (d *Decider) absent(t *registrar.Task, r *Report, now time.Time) {
+	switch {
+	case t.Canceled:
+		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.Failed, Reason: t.Reason}, now)
+	case t.Once:
+		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.Unknown, Reason: r.Reason}, now)
+	default:
+		d.requeue(t, registrar.TaskRequeued{Reason: r.Reason, Checkpoint: r.Checkpoint}, now)
+	}
+}
+
+// stopped handles an attempt that its target stopped by order.
+func (d *Decider) stopped(t *registrar.Task, r *Report, now time.Time) {
+	if t.Canceled || t.Once {
+		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.Failed, Reason: t.Reason}, now)
+		return
+	}
+	d.requeue(t, registrar.TaskRequeued{Reason: t.Reason, Checkpoint: r.Checkpoint, Preempted: t.Reason == reasonPreempted}, now)
+}
+
+// silent asks for the whole state of a target that a daemon can't reach. The
+// attempt stays charged until the target speaks or its lease ends.
+func (d *Decider) silent(t *registrar.Task, now time.Time) {
+	if v := d.targets[t.Target]; v != nil {
+		v.needFull = true
+	}
+	if d.Disabled&WithoutLeaseWait != 0 {
+		d.requeue(t, registrar.TaskRequeued{Reason: "target is silent"}, now)
+	}
+}
+
+// end gives a task its outcome and frees its charge.
+func (d *Decider) end(t *registrar.Task, ev registrar.TaskEnded, now time.Time) {
+	d.round.touched[t.ID] = true
+	d.queue.Remove(t.ID)
+	delete(d.preempting, t.ID)
+	d.release(t)
+	d.emit(ev)
+	ended := *t
+	ended.State, ended.Outcome, ended.Reason = registrar.Ended, ev.Outcome, ev.Reason
+	ended.Answer, ended.Status = ev.Answer, ev.Status
+	if t.Kind != registrar.Request {
+		return
+	}
+	if ev.Outcome != registrar.Done {
+		d.notifyHolder(&ended)
+	}
+	d.notifyWatchers(&ended)
+}
+
+// notifyHolder tells the daemon that holds the caller's connection about an
+// outcome. A whole answer needs no such notice: the daemon that reported it
+// answers by itself.
+func (d *Decider) notifyHolder(t *registrar.Task) {
+	if d.sessionFor(t.Daemon, t.Life) == nil {
+		return
+	}
+	m := d.down(t.Daemon)
+	m.Replies = append(m.Replies, replyOf(t))
+}
+
+func (d *Decider) release(t *registrar.Task) {
+	delete(d.ordered, t.ID)
+	if t.State != registrar.Assigned {
+		return
+	}
+	d.used[t.Caller] = d.used[t.Caller].Minus(t.Charge)
+	if v := d.targets[t.Target]; v != nil {
+		v.place.Release(t.Charge)
+	}
+}
+
+// requeue ends an attempt and queues the task again, after a backoff when it
+// failed and at a bounded rate when its target was lost.
+func (d *Decider) requeue(t *registrar.Task, ev registrar.TaskRequeued, now time.Time) {
+	if t.Canceled || t.Kind == registrar.Request && d.callerGone(t.Caller) {
+		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.Failed, Reason: ev.Reason}, now)
+		return
+	}
+	d.round.touched[t.ID] = true
+	d.release(t)
+	ev.ID, ev.Attempt = t.ID, t.Attempt
+	b := retrier.Backoff{Base: d.policies.BackoffBase, Max: d.policies.BackoffMax}
+	switch {
+	case ev.Failed:
+		ev.NotBefore = registrar.MillisOf(now.Add(b.Delay(t.Failures, d.Rand)))
+	default:
+		ev.NotBefore = registrar.MillisOf(now.Add(d.restartDelay()))
+	}
+	d.Counters.Retried++
+	d.emit(ev)
+}
+
+// restartDelay spreads the restarts of many tasks at once over time.
+func (d *Decider) restartDelay() time.Duration {
+	d.restarts--
+	if d.restarts >= 0 {
+		return 0
+	}
+	return time.Duration(-d.restarts / max(d.policies.RestartPerSecond, 1) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/control/decider/sessions.go
@@ -0,0 +1,208 @@
+package decider
+
+import (
+	"slices"
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file keeps the leader's view of the daemons: who is connected, whose
+// lease is in force, which revision each has confirmed.
+
+type session struct {
+	daemon    registrar.Daemon
+	connected bool
+	leaving   bool
+	revision  registrar.Revision
+	applied   registrar.Index
+}
+
+// Confirmation records when a daemon confirmed a revision.
+type Confirmation struct {
+	Revision registrar.Revision
+	Daemon   registrar.DaemonName
+	At       time.Time
+}
+
+const keptConfirmations = 512
+
+func (d *Decider) takeInput(in *Input, leaderUntil, now time.Time) {
+	if in.Closed {
+		if s := d.sessions[in.Daemon]; s != nil && s.daemon.Life == in.Life {
+			s.connected = false
+		}
+		return
+	}
+	up := in.Up
+	if up.Hello != nil {
+		d.takeHello(*up.Hello, now)
+	}
+	s := d.sessions[in.Daemon]
+	if s == nil || s.daemon.Life != in.Life {
+		return // a session must begin with a hello
+	}
+	s.leaving = s.leaving || up.Leaving
+	d.takeBatch(s, up, leaderUntil, now)
+}
+
+func (d *Decider) takeBatch(s *session, up *Upstream, leaderUntil, now time.Time) {
+	name := s.daemon.Name
+	for i := range up.Reports {
+		r := &up.Reports[i]
+		d.takeReport(r, now)
+		m := d.down(name)
+		m.Settled = append(m.Settled, TaskAttempt{Task: r.Task, Attempt: r.Attempt})
+	}
+	for i := range up.Announces {
+		d.takeAnnouncement(name, &up.Announces[i], leaderUntil, now)
+	}
+	for i := range up.Cancels {
+		d.takeCancel(&up.Cancels[i], now)
+	}
+	for i := range up.Jobs {
+		d.takeJob(&up.Jobs[i])
+	}
+	for i := range up.Admits {
+		d.takeAdmit(s, &up.Admits[i], now)
+	}
+	if up.Renewal != nil {
+		d.takeRenewal(s, up.Renewal, leaderUntil, now)
+	}
+}
+
+// takeHello begins a session. The assignments of the daemon's life are sent
+// again, since the messages of an earlier connection may be lost.
+func (d *Decider) takeHello(h registrar.Daemon, now time.Time) {
+	old := d.State.Daemons[h.Name]
+	if old != nil && h.Life < old.Life {
+		return
+	}
+	if old == nil || old.Life != h.Life || old.Address != h.Address {
+		d.emit(registrar.DaemonSeen{Daemon: h})
+	}
+	d.sessions[h.Name] = &session{daemon: h, connected: true}
+	for _, t := range d.assignedTo(h.Name, h.Life) {
+		m := d.down(h.Name)
+		m.Assignments = append(m.Assignments, d.assignment(t, t.Attempt, t.Target, t.Since))
+	}
+}
+
+func (d *Decider) assignedTo(name registrar.DaemonName, life registrar.Incarnation) []*registrar.Task {
+	var out []*registrar.Task
+	for _, tasks := range d.State.ByTarget {
+		for _, t := range tasks {
+			if t.Daemon == name && t.Life == life {
+				out = append(out, t)
+			}
+		}
+	}
+	registrar.SortTasks(out)
+	return out
+}
+
+// takeRenewal extends the lease of a daemon, unless the daemon has had time to
+// apply a change and has not.
+func (d *Decider) takeRenewal(s *session, r *Renewal, leaderUntil, now time.Time) {
+	s.applied = r.Applied
+	if r.Revision > s.revision {
+		s.revision = r.Revision
+		d.confirmed = append(d.confirmed, Confirmation{r.Revision, s.daemon.Name, now})
+		if len(d.confirmed) > keptConfirmations {
+			d.confirmed = slices.Delete(d.confirmed, 0, keptConfirmations/2)
+		}
+	}
+	late := s.revision < d.requiredRevision(now)
+	grant := &Grant{Seq: r.Seq, Term: d.term}
+	d.down(s.daemon.Name).Grant = grant
+	if !late && now.Before(leaderUntil) {
+		grant.Duration = d.daemonLeases.Grant(s.daemon.Name, now)
+	}
+}
+
+// requiredRevision returns the newest revision that every daemon has had time
+// to apply.
+func (d *Decider) requiredRevision(now time.Time) registrar.Revision {
+	required := d.State.Revision
+	for _, c := range d.waiting {
+		if now.Sub(c.committedAt) < d.Timing.RevisionGrace {
+			required = min(required, c.revision-1)
+		}
+	}
+	return required
+}
+
+// daemonAlive reports whether a life of a daemon may still act or report.
+func (d *Decider) daemonAlive(name registrar.DaemonName, life registrar.Incarnation, now time.Time) bool {
+	rec := d.State.Daemons[name]
+	if rec == nil || rec.Life != life {
+		return false
+	}
+	return d.daemonLeases.Held(name, now)
+}
+
+// sessionFor returns the connected session of a daemon's life, or nil.
+func (d *Decider) sessionFor(name registrar.DaemonName, life registrar.Incarnation) *session {
+	s := d.sessions[name]
+	if s == nil || !s.connected || s.daemon.Life != life {
+		return nil
+	}
+	return s
+}
+
+// dispatcher chooses the daemon that acts on a target: the same one for a
+// target as long as the set of daemons stays, so that connections are reused.
+func (d *Decider) dispatcher(target registrar.TargetName, now time.Time) *session {
+	var names []registrar.DaemonName
+	for name, s := range d.sessions {
+		if s.connected && !s.leaving && d.daemonLeases.Held(name, now) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	slices.Sort(names)
+	i := uint64(DigestName(string(target))) % uint64(len(names))
+	return d.sessions[names[i]]
+}
+
+// lapseDaemons marks daemons as gone whose leases are over.
+func (d *Decider) lapseDaemons(now time.Time) {
+	for _, name := range d.daemonLeases.Lapsed(now) {
+		if s := d.sessions[name]; s != nil && !s.connected {
+			delete(d.sessions, name)
+		}
+	}
+}
+
+// Confirmations returns who confirmed which revision in this term.
+func (d *Decider) Confirmations() []Confirmation { return slices.Clone(d.confirmed) }
+
+// DaemonStatus describes a daemon as the leader sees it.
+type DaemonStatus struct {
+	Daemon    registrar.Daemon
+	Connected bool
+	Leased    bool
+	Revision  registrar.Revision
+	Applied   registrar.Index
+}
+
+// DaemonStatuses returns the state of every known daemon by name.
+func (d *Decider) DaemonStatuses(now time.Time) []DaemonStatus {
+	var out []DaemonStatus
+	for name, rec := range d.State.Daemons {
+		st := DaemonStatus{Daemon: *rec, Leased: d.daemonLeases.Held(name, now)}
+		if s := d.sessions[name]; s != nil {
+			st.Connected, st.Revision, st.Applied = s.connected, s.revision, s.applied
+		}
+		out = append(out, st)
+	}
+	slices.SortFunc(out, func(a, b DaemonStatus) int {
+		if a.Daemon.Name < b.Daemon.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/control/decider/stops.go
@@ -0,0 +1,143 @@
+package decider
+
+import (
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file stops attempts: by cancellation, retirement, preemption, or when a
+// target leaves. A stop is logged before it is ordered, and its order is
+// repeated until the target confirms that the attempt ended.
+
+// Reasons of stops that other decisions look at.
+const reasonPreempted = "preempted by urgent work"
+
+// stop decides to stop an assigned attempt.
+func (d *Decider) stop(t *registrar.Task, reason string, cancel bool, verb Verb, now time.Time) {
+	if d.round.touched[t.ID] {
+		return
+	}
+	d.round.touched[t.ID] = true
+	d.emit(registrar.TaskStopping{ID: t.ID, Canceled: cancel, Reason: reason})
+	d.ordered[t.ID] = now
+	d.sendOrder(t, verb, now)
+}
+
+// repeatStop orders a stop again that was not confirmed.
+func (d *Decider) repeatStop(t *registrar.Task, now time.Time) {
+	if now.Sub(d.ordered[t.ID]) < repeatStopAfter {
+		return
+	}
+	d.ordered[t.ID] = now
+	d.sendOrder(t, VerbStop, now)
+}
+
+const repeatStopAfter = 2 * time.Second
+
+// sendOrder sends one order by the daemon that acts on the target.
+func (d *Decider) sendOrder(t *registrar.Task, verb Verb, now time.Time) {
+	s := d.sessionFor(t.Daemon, t.Life)
+	if s == nil || t.Kind != registrar.Request {
+		s = d.dispatcher(t.Target, now)
+	}
+	if v := d.targets[t.Target]; v != nil {
+		v.needFull = true
+	}
+	if s == nil {
+		return
+	}
+	m := d.down(s.daemon.Name)
+	m.Orders = append(m.Orders, Order{Task: t.ID, Attempt: t.Attempt, Target: t.Target, Verb: verb, Arrived: d.arrived(t)})
+}
+
+// arrived returns the time by which the start of an attempt has arrived at its
+// target or is lost.
+func (d *Decider) arrived(t *registrar.Task) registrar.Millis {
+	return t.Since.Add(d.Timing.StartWindow + d.Timing.Transit)
+}
+
+// limitUsage throttles a task that uses more than it is charged, and moves it
+// when it uses more than overuseFactor times its charge.
+func (d *Decider) limitUsage(t *registrar.Task, use registrar.Need) {
+	if t.Stopping || t.State != registrar.Assigned || use.FitsIn(t.Charge) {
+		return
+	}
+	d.overuse = append(d.overuse, overuse{t.ID, t.Attempt, !use.FitsIn(t.Charge.Times(overuseFactor))})
+}
+
+const overuseFactor = 2
+
+type overuse struct {
+	id      registrar.TaskID
+	attempt registrar.Attempt
+	gross   bool
+}
+
+// answerOveruse acts on the overuse that was reported since the last tick.
+func (d *Decider) answerOveruse(now time.Time) {
+	for _, o := range d.overuse {
+		t := d.live(o.id)
+		if t == nil || t.Attempt != o.attempt || t.Stopping || t.State != registrar.Assigned {
+			continue
+		}
+		if o.gross && !t.Once {
+			d.stop(t, "used more than it was charged", false, VerbCheckpoint, now)
+			continue
+		}
+		d.sendOrder(t, VerbThrottle, now)
+	}
+	d.overuse = nil
+}
+
+// deadlineList holds queued requests with a deadline.
+type deadlineList []*registrar.Task
+
+func (d *Decider) watchDeadline(t *registrar.Task) {
+	if t.Deadline > 0 && t.State == registrar.Queued {
+		d.deadlines = append(d.deadlines, t)
+	}
+}
+
+// dropLate ends queued work whose deadline has passed, and requests whose
+// caller did not come back after its daemon died.
+func (d *Decider) dropLate(now time.Time) {
+	at := registrar.MillisOf(now)
+	keep := d.deadlines[:0]
+	for _, t := range d.deadlines {
+		if d.queue.Get(t.ID) == nil {
+			continue
+		}
+		if at < t.Deadline {
+			keep = append(keep, t)
+			continue
+		}
+		d.dropQueued(t.ID, "deadline passed before it could start", now)
+	}
+	d.deadlines = keep
+	d.dropOrphans(now)
+}
+
+func (d *Decider) dropQueued(id registrar.TaskID, reason string, now time.Time) {
+	t := d.live(id)
+	if t == nil || t.State != registrar.Queued {
+		return
+	}
+	d.Counters.DroppedLate++
+	d.end(t, registrar.TaskEnded{ID: id, Outcome: notRunOutcome(t), Reason: reason}, now)
+}
+
+func (d *Decider) dropOrphans(now time.Time) {
+	at := registrar.MillisOf(now)
+	for id, since := range d.orphans {
+		t := d.State.Tasks[id]
+		if t == nil || t.State != registrar.Queued || d.daemonAlive(t.Daemon, t.Life, now) {
+			delete(d.orphans, id)
+			continue
+		}
+		if at >= since.Add(d.Timing.CallerGrace) {
+			delete(d.orphans, id)
+			d.dropQueued(id, "caller's connection was lost", now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/decider/targets.go
@@ -0,0 +1,262 @@
+package decider
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"masticroad/internal/control/placer"
+	"masticroad/internal/control/registrar"
+)
+
+// This file keeps the leader's view of the targets: what each has free,
+// whether it takes new work, and its lease. Example: a target that announces a
+// new life has lost every task it ran, so their attempts are confirmed ended.
+
+type targetView struct {
+	rec      *registrar.Target
+	place    *placer.Target
+	fullAt   time.Time // of the last full report in this term
+	needFull bool
+}
+
+// refreshTarget rebuilds the view of a target from the tables.
+func (d *Decider) refreshTarget(name registrar.TargetName, now time.Time) {
+	rec := d.State.Targets[name]
+	if rec == nil {
+		return
+	}
+	v := d.targets[name]
+	if v == nil {
+		v = &targetView{place: &placer.Target{Name: name}, needFull: true}
+		d.targets[name] = v
+	}
+	if v.rec != nil && v.rec.Life != rec.Life {
+		d.judge.Clear(name)
+	}
+	v.rec = rec
+	used, tasks := d.State.Used(name)
+	p := v.place
+	p.Region, p.Zone, p.Rack = rec.Region, rec.Zone, rec.Rack
+	p.Capacity = rec.Capacity
+	p.Free = rec.Capacity.Minus(used)
+	p.FreeSlots = slotsOf(rec) - tasks
+	p.Prepare()
+	d.refreshOpen(v, now)
+	d.refreshOrder()
+}
+
+// slotsOf returns how many tasks a target runs at once: its slots, and no more
+// than its connections.
+func slotsOf(t *registrar.Target) int {
+	if t.Connections > 0 {
+		return min(t.Slots, t.Connections)
+	}
+	return t.Slots
+}
+
+func (d *Decider) refreshOpen(v *targetView, now time.Time) {
+	t := v.rec
+	usable := t.State == registrar.TargetAlive && !t.Draining && !t.Leaving && !t.Retiring
+	usable = usable && d.leaseHeld(t.Name, now)
+	v.place.Open = usable && t.Quarantine == 0
+	_, running := d.State.Used(t.Name)
+	v.place.Probing = usable && t.Quarantine > 0 && registrar.MillisOf(now) >= t.ProbeAfter && running == 0
+}
+
+func (d *Decider) leaseHeld(name registrar.TargetName, now time.Time) bool {
+	return d.targetLeases.Held(name, now)
+}
+
+// refreshOrder rebuilds the list of targets that may take work, and the sums
+// over it.
+func (d *Decider) refreshOrder() {
+	d.order = d.order[:0]
+	d.total, d.largest = registrar.Need{}, registrar.Need{}
+	for _, v := range d.targets {
+		if v.rec.State != registrar.TargetAlive {
+			continue
+		}
+		d.order = append(d.order, v.place)
+		d.total = d.total.Plus(v.rec.Capacity)
+		d.largest = d.largest.Max(v.rec.Capacity)
+	}
+	slices.SortFunc(d.order, func(a, b *placer.Target) int { return strings.Compare(string(a.Name), string(b.Name)) })
+}
+
+// takeAnnouncement handles a target's sign of life.
+func (d *Decider) takeAnnouncement(from registrar.DaemonName, a *Announcement, leaderUntil, now time.Time) {
+	reply := TargetReply{Name: a.Name, Life: a.Life, Seq: a.Seq}
+	rec := d.State.Targets[a.Name]
+	if rec != nil && rec.State == registrar.TargetRetired {
+		reply.Retired = true
+		d.answerTarget(from, reply)
+		return
+	}
+	if rec != nil && a.Life < rec.Life {
+		d.answerTarget(from, reply) // an older life gets no lease
+		return
+	}
+	if a.Full != nil {
+		d.takeFull(a, rec, &reply, now)
+	}
+	v := d.targets[a.Name]
+	known := rec != nil && rec.Life == a.Life && rec.State == registrar.TargetAlive
+	if known && v != nil {
+		reply.SendFull = a.Full == nil && d.wantsFull(v, a, now)
+	} else {
+		reply.SendFull = a.Full == nil
+	}
+	if (known || a.Full != nil) && now.Before(leaderUntil) {
+		reply.Duration = d.targetLeases.Grant(a.Name, now)
+	}
+	if v != nil {
+		d.refreshOpen(v, now)
+	}
+	d.answerTarget(from, reply)
+}
+
+func (d *Decider) answerTarget(to registrar.DaemonName, r TargetReply) {
+	m := d.down(to)
+	m.Targets = append(m.Targets, r)
+}
+
+func (d *Decider) wantsFull(v *targetView, a *Announcement, now time.Time) bool {
+	if v.needFull || now.Sub(v.fullAt) >= d.Timing.FullEvery {
+		return true
+	}
+	return a.Digest != d.expectedDigest(a.Name, v.rec.Leaving)
+}
+
+// expectedDigest is the digest that a target gives when it runs exactly the
+// background tasks that are assigned to it.
+func (d *Decider) expectedDigest(name registrar.TargetName, leaving bool) registrar.Digest {
+	sum := DigestLeaving(leaving)
+	for _, t := range d.State.ByTarget[name] {
+		if t.Kind != registrar.Request {
+			sum ^= DigestAttempt(t.ID, t.Attempt)
+		}
+	}
+	return sum
+}
+
+// takeFull handles the whole of an announcement.
+func (d *Decider) takeFull(a *Announcement, rec *registrar.Target, reply *TargetReply, now time.Time) {
+	fresh := *a.Full
+	fresh.Name, fresh.Life = a.Name, a.Life
+	fresh.State = registrar.TargetAlive
+	if rec == nil || announcedChanged(rec, &fresh) {
+		d.emit(registrar.TargetAnnounced{Target: fresh})
+	}
+	if rec != nil && rec.Life < a.Life {
+		d.endAllOn(rec.Name, "target restarted", now)
+		return
+	}
+	v := d.targets[a.Name]
+	if v == nil || rec == nil {
+		return
+	}
+	v.fullAt, v.needFull = now, false
+	for i := range a.Ended {
+		d.takeEnded(&a.Ended[i], reply, now)
+	}
+	d.compareRunning(v, a, reply, now)
+}
+
+// announcedChanged reports whether a target announces other facts than the
+// tables hold.
+func announcedChanged(old, fresh *registrar.Target) bool {
+	return old.Address != fresh.Address || old.Capacity != fresh.Capacity || old.Slots != fresh.Slots ||
+		old.Connections != fresh.Connections || old.Life != fresh.Life || old.Zone != fresh.Zone ||
+		old.Region != fresh.Region || old.Rack != fresh.Rack || old.Leaving != fresh.Leaving ||
+		old.State != registrar.TargetAlive
+}
+
+func (d *Decider) takeEnded(r *Report, reply *TargetReply, now time.Time) {
+	reply.Forget = append(reply.Forget, TaskAttempt{Task: r.Task, Attempt: r.Attempt})
+	d.takeReport(r, now)
+}
+
+// compareRunning compares what a target runs with what is assigned to it.
+func (d *Decider) compareRunning(v *targetView, a *Announcement, reply *TargetReply, now time.Time) {
+	running := make(map[registrar.TaskID]registrar.Attempt, len(a.Running))
+	for _, r := range a.Running {
+		running[r.Task] = r.Attempt
+		t := d.State.Tasks[r.Task]
+		present := t != nil && t.State == registrar.Assigned && t.Target == a.Name && t.Attempt == r.Attempt
+		if !present || t.Stopping {
+			reply.Stop = append(reply.Stop, TaskAttempt{Task: r.Task, Attempt: r.Attempt})
+			v.needFull = true
+		}
+		if present {
+			d.takeUsage(t, r.Usage)
+		}
+	}
+	for _, t := range d.State.ByTarget[a.Name] {
+		if running[t.ID] == t.Attempt {
+			continue
+		}
+		d.checkAbsent(v, t, now)
+	}
+}
+
+// checkAbsent ends an attempt that its target does not run. A start that may
+// still be on its way is waited for, and so is a request whose daemon lives,
+// since that daemon reports it.
+func (d *Decider) checkAbsent(v *targetView, t *registrar.Task, now time.Time) {
+	if registrar.MillisOf(now) < d.arrived(t) {
+		v.needFull = true
+		return
+	}
+	if t.Kind == registrar.Request && d.daemonAlive(t.Daemon, t.Life, now) {
+		return
+	}
+	d.takeReport(&Report{Task: t.ID, Attempt: t.Attempt, Result: ResultAbsent, Reason: "target does not run it", ByTarget: true}, now)
+}
+
+// lapseTargets marks targets lost whose leases are over.
+func (d *Decider) lapseTargets(now time.Time) {
+	for _, name := range d.targetLeases.Lapsed(now) {
+		rec := d.State.Targets[name]
+		if rec == nil || rec.State != registrar.TargetAlive {
+			continue
+		}
+		d.Counters.LostTargets++
+		d.emit(registrar.TargetMarked{Name: name, State: registrar.TargetLost, Quarantine: rec.Quarantine, ProbeAfter: rec.ProbeAfter})
+		d.endAllOn(name, "target lost", now)
+	}
+}
+
+// endAllOn ends every attempt on a target that surely runs none of them.
+func (d *Decider) endAllOn(name registrar.TargetName, reason string, now time.Time) {
+	tasks := make([]*registrar.Task, 0, len(d.State.ByTarget[name]))
+	for _, t := range d.State.ByTarget[name] {
+		tasks = append(tasks, t)
+	}
+	registrar.SortTasks(tasks)
+	for _, t := range tasks {
+		d.takeReport(&Report{Task: t.ID, Attempt: t.Attempt, Result: ResultAbsent, Reason: reason}, now)
+	}
+}
+
+// reconcileTargets moves services off targets that drain, and asks for the
+// state of attempts whose daemon died.
+func (d *Decider) reconcileTargets(now time.Time) {
+	for name, v := range d.targets {
+		d.refreshOpen(v, now)
+		leaving := v.rec.Draining || v.rec.Leaving || v.rec.Retiring
+		for _, t := range d.State.ByTarget[name] {
+			orphan := t.Kind == registrar.Request && !d.daemonAlive(t.Daemon, t.Life, now)
+			if orphan {
+				v.needFull = true
+			}
+			moves := t.Kind == registrar.Services || v.rec.Leaving && t.Kind != registrar.Request
+			if leaving && moves && !t.Stopping {
+				d.stop(t, "target is leaving", false, VerbCheckpoint, now)
+			}
+			if t.Stopping {
+				d.repeatStop(t, now)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/predictor/predictor.go
@@ -0,0 +1,160 @@
+// Package predictor learns what work really needs and how long it runs, for
+// each kind of work of a caller, from reports that lag. Older reports lose
+// weight.
+package predictor
+
+import (
+	"math"
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// Work identifies a kind of work: a caller's job, or its requests of a class.
+type Work struct {
+	Caller registrar.CallerName
+	Job    registrar.JobName
+	Class  registrar.Class
+}
+
+// Table holds what is learned of each kind of work.
+type Table struct {
+	// MinReports is the number of reports before a prediction is made.
+	MinReports int
+	// Quantile of the reported use that is charged, such as 0.9.
+	Quantile float64
+
+	works map[Work]*learned
+}
+
+type learned struct {
+	cpu     Histogram
+	memory  Histogram
+	runTime Histogram
+}
+
+func (t *Table) get(w Work) *learned {
+	if t.works == nil {
+		t.works = make(map[Work]*learned)
+	}
+	l := t.works[w]
+	if l == nil {
+		l = &learned{}
+		t.works[w] = l
+	}
+	return l
+}
+
+// AddUsage takes in the reported use of one running task.
+func (t *Table) AddUsage(w Work, use registrar.Need) {
+	l := t.get(w)
+	l.cpu.Add(float64(use.CPU))
+	l.memory.Add(float64(use.Memory))
+}
+
+// AddRunTime takes in the run time of one finished task.
+func (t *Table) AddRunTime(w Work, d time.Duration) {
+	t.get(w).runTime.Add(float64(d.Milliseconds()))
+}
+
+// Charge returns what a task of this kind is charged: its declared need, or
+// the learned use where that is higher, but at most limit, the capacity of the
+// largest target, as long as the declared need itself is below it.
+func (t *Table) Charge(w Work, declared, limit registrar.Need) registrar.Need {
+	l := t.works[w]
+	if l == nil || l.cpu.Count() < t.MinReports {
+		return declared
+	}
+	use := registrar.Need{
+		CPU:          registrar.MilliCPU(l.cpu.Quantile(t.Quantile)),
+		Memory:       registrar.MiB(l.memory.Quantile(t.Quantile)),
+		Accelerators: declared.Accelerators,
+	}
+	charge := declared.Max(use)
+	charge.CPU = max(declared.CPU, min(charge.CPU, limit.CPU))
+	charge.Memory = max(declared.Memory, min(charge.Memory, limit.Memory))
+	return charge
+}
+
+// RunTime returns the learned run time at a quantile, or the declared one when
+// there are too few reports.
+func (t *Table) RunTime(w Work, declared time.Duration, quantile float64) time.Duration {
+	l := t.works[w]
+	if l == nil || l.runTime.Count() < t.MinReports {
+		return declared
+	}
+	return time.Duration(l.runTime.Quantile(quantile)) * time.Millisecond
+}
+
+// Histogram counts values in buckets that grow by a quarter of a power of two,
+// and halves all counts when there are many, so that old values fade.
+type Histogram struct {
+	buckets map[int16]float64
+	total   float64
+	count   int
+}
+
+const (
+	bucketsPerDoubling = 4
+	fadeAt             = 256
+)
+
+// Add counts a value.
+func (h *Histogram) Add(v float64) {
+	if h.buckets == nil {
+		h.buckets = make(map[int16]float64)
+	}
+	h.buckets[bucketOf(v)]++
+	h.total++
+	h.count++
+	if h.total >= fadeAt {
+		h.fade()
+	}
+}
+
+func (h *Histogram) fade() {
+	h.total = 0
+	for b, n := range h.buckets {
+		n /= 2
+		if n < 0.25 {
+			delete(h.buckets, b)
+			continue
+		}
+		h.buckets[b] = n
+		h.total += n
+	}
+}
+
+// Count returns the number of values ever added.
+func (h *Histogram) Count() int { return h.count }
+
+// Quantile returns the upper bound of the bucket that holds quantile q, or 0
+// when nothing was added.
+func (h *Histogram) Quantile(q float64) float64 {
+	if h.total == 0 {
+		return 0
+	}
+	lo, hi := int16(math.MaxInt16), int16(0)
+	for b := range h.buckets {
+		lo, hi = min(lo, b), max(hi, b)
+	}
+	sum := 0.0
+	for b := lo; b < hi; b++ {
+		sum += h.buckets[b]
+		if sum >= q*h.total {
+			return upperOf(b)
+		}
+	}
+	return upperOf(hi)
+}
+
+func bucketOf(v float64) int16 {
+	if v < 1 {
+		return 0
+	}
+	return int16(math.Ceil(math.Log2(v) * bucketsPerDoubling))
+}
+
+func upperOf(b int16) float64 {
+	return math.Exp2(float64(b) / bucketsPerDoubling)
+}
--- /dev/null
+++ b/internal/control/quarantiner/quarantiner.go
@@ -0,0 +1,158 @@
+// Package quarantiner finds targets that fail what others run well, and work
+// that fails everywhere. A failure counts against a target only so far as the
+// same work succeeds elsewhere.
+package quarantiner
+
+import (
+	"math"
+	"time"
+
+	"masticroad/internal/control/predictor"
+	"masticroad/internal/control/registrar"
+)
+
+// Judge holds the failure records. The exported fields are set before use.
+type Judge struct {
+	HalfLife    time.Duration // in which a record loses half its weight
+	MinBlame    float64       // blame below which a target is never quarantined
+	MaxRate     float64       // blame per attempt above which it is
+	FirstPause  time.Duration // before the first probe; doubled at each step
+	MaxPause    time.Duration
+	MaxFraction float64 // of the targets of a zone that may be quarantined
+
+	targets map[registrar.TargetName]*record
+	works   map[predictor.Work]*spread
+}
+
+type record struct {
+	attempts float64
+	blame    float64
+	at       time.Time
+}
+
+// spread holds how one kind of work fares on each target.
+type spread struct {
+	on map[registrar.TargetName]*record
+}
+
+// Verdict is what follows from an outcome.
+type Verdict struct {
+	Quarantine bool
+	Step       int
+	Pause      time.Duration
+}
+
+// Begin forgets all records.
+func (j *Judge) Begin() {
+	j.targets = make(map[registrar.TargetName]*record)
+	j.works = make(map[predictor.Work]*spread)
+}
+
+func (j *Judge) fade(r *record, now time.Time) {
+	if !r.at.IsZero() && j.HalfLife > 0 {
+		k := math.Exp2(-float64(now.Sub(r.at)) / float64(j.HalfLife))
+		r.attempts *= k
+		r.blame *= k
+	}
+	r.at = now
+}
+
+func (j *Judge) target(name registrar.TargetName) *record {
+	r := j.targets[name]
+	if r == nil {
+		r = &record{}
+		j.targets[name] = r
+	}
+	return r
+}
+
+func (j *Judge) work(w predictor.Work, name registrar.TargetName) (*spread, *record) {
+	s := j.works[w]
+	if s == nil {
+		s = &spread{on: make(map[registrar.TargetName]*record)}
+		j.works[w] = s
+	}
+	r := s.on[name]
+	if r == nil {
+		r = &record{}
+		s.on[name] = r
+	}
+	return s, r
+}
+
+// elsewhere returns the rate at which work fails on other targets, and on how
+// many of them it was seen.
+func (s *spread) elsewhere(name registrar.TargetName) (rate float64, seen int) {
+	attempts, failures := 0.0, 0.0
+	for other, r := range s.on {
+		if other == name || r.attempts < 0.1 {
+			continue
+		}
+		// Each target has one vote, so that one that fails fast and takes
+		// much of the work does not make the work look bad.
+		attempts++
+		failures += r.blame / r.attempts
+	}
+	if attempts == 0 {
+		return 0, 0
+	}
+	return failures / attempts, int(attempts)
+}
+
+// FaultOfWork reports whether work fails on most of at least minTargets
+// targets.
+func (j *Judge) FaultOfWork(w predictor.Work, minTargets int) bool {
+	s := j.works[w]
+	if s == nil {
+		return false
+	}
+	rate, seen := s.elsewhere("")
+	return seen >= minTargets && rate > 0.8
+}
+
+// Observe takes in one outcome and says whether the target is to be
+// quarantined. Step is the present step of the target.
+func (j *Judge) Observe(w predictor.Work, name registrar.TargetName, failed bool, step int, now time.Time) Verdict {
+	s, onTarget := j.work(w, name)
+	rate, _ := s.elsewhere(name)
+	j.fade(onTarget, now)
+	onTarget.attempts++
+	r := j.target(name)
+	j.fade(r, now)
+	r.attempts++
+	if !failed {
+		return Verdict{}
+	}
+	onTarget.blame++
+	r.blame += 1 - rate
+	if r.blame < j.MinBlame || r.blame/r.attempts < j.MaxRate {
+		return Verdict{}
+	}
+	next := step + 1
+	return Verdict{Quarantine: true, Step: next, Pause: j.pause(next)}
+}
+
+func (j *Judge) pause(step int) time.Duration {
+	d := j.FirstPause
+	for range step - 1 {
+		d *= 2
+		if d >= j.MaxPause {
+			return j.MaxPause
+		}
+	}
+	return d
+}
+
+// Clear forgets the record of a target, after a probe went well or it
+// restarted.
+func (j *Judge) Clear(name registrar.TargetName) {
+	delete(j.targets, name)
+	for _, s := range j.works {
+		delete(s.on, name)
+	}
+}
+
+// Allowed reports whether one more target of a zone may be quarantined.
+func (j *Judge) Allowed(quarantined, total int) bool {
+	return float64(quarantined+1) <= max(1, j.MaxFraction*float64(total))
+}
--- /dev/null
+++ b/internal/control/registrar/apply.go
@@ -0,0 +1,283 @@
+package registrar
+
+// This file applies each event to the tables. An event that does not match the
+// tables is passed over, the same on every replica. Example: TaskEnded for an
+// attempt that is no longer the task's present one changes nothing.
+
+// Apply records the change and carries out its steps.
+func (e ConfigChanged) Apply(s *State, at Millis) {
+	if e.Record.Revision != s.Revision+1 {
+		return
+	}
+	s.Revision = e.Record.Revision
+	rec := e.Record
+	rec.At = at
+	rec.Index = s.Applied
+	s.Changes[rec.ID] = &rec
+	for _, op := range e.Ops {
+		op.apply(s, at)
+	}
+}
+
+func (op Op) apply(s *State, at Millis) {
+	switch {
+	case op.PutCaller != nil:
+		s.putCaller(*op.PutCaller, at)
+	case op.RetireCaller != "":
+		s.retireCaller(op.RetireCaller, at)
+	case op.PutPolicy != nil:
+		s.Policies[op.PutPolicy.Name] = op.PutPolicy.Value
+	case op.PutJob != nil:
+		s.putJob(*op.PutJob, at)
+	case op.CancelJob != nil:
+		s.cancelJob(*op.CancelJob)
+	case op.DrainTarget != nil:
+		s.editTarget(op.DrainTarget.Name, func(t *Target) { t.Draining = op.DrainTarget.On })
+	case op.RetireTarget != "":
+		s.editTarget(op.RetireTarget, func(t *Target) { t.Retiring, t.Draining = true, true })
+	case op.CancelTask != 0:
+		s.edit(op.CancelTask, func(t *Task) { t.Canceled = true })
+	}
+}
+
+func (s *State) putCaller(c Caller, at Millis) {
+	old := s.Callers[c.Name]
+	c.Since = at
+	if old != nil {
+		c.Since = old.Since
+		c.State = old.State
+		c.Proof = old.Proof
+	}
+	s.Callers[c.Name] = &c
+}
+
+func (s *State) retireCaller(name CallerName, at Millis) {
+	old := s.Callers[name]
+	if old == nil || old.State != CallerActive {
+		return
+	}
+	c := *old
+	c.State = CallerRetiring
+	c.Since = at
+	s.Callers[name] = &c
+	for key := range s.Jobs {
+		if key.Caller == name {
+			s.cancelJob(key)
+		}
+	}
+}
+
+func (s *State) putJob(j Job, at Millis) {
+	old := s.Jobs[j.KeyOf()]
+	j.Since = at
+	if old != nil {
+		j.Since, j.Made, j.Done, j.Failed = old.Since, old.Made, old.Done, old.Failed
+	}
+	s.Jobs[j.KeyOf()] = &j
+}
+
+func (s *State) cancelJob(key JobKey) {
+	old := s.Jobs[key]
+	if old == nil {
+		return
+	}
+	j := *old
+	j.Canceled = true
+	s.Jobs[key] = &j
+}
+
+func (s *State) editTarget(name TargetName, f func(*Target)) {
+	old := s.Targets[name]
+	if old == nil {
+		return
+	}
+	t := *old
+	f(&t)
+	s.Targets[name] = &t
+}
+
+func (s *State) edit(id TaskID, f func(*Task)) {
+	old := s.Tasks[id]
+	if old == nil || old.State == Ended {
+		return
+	}
+	t := *old
+	f(&t)
+	s.put(t)
+}
+
+// Apply adds the task to the tables.
+func (e TaskAdmitted) Apply(s *State, at Millis) {
+	t := e.Task
+	t.Since = at
+	s.NextTask = max(s.NextTask, t.ID+1)
+	s.put(t)
+	s.editJob(t, func(j *Job) { j.Made++ })
+}
+
+// Apply marks the job as canceled.
+func (e JobCanceled) Apply(s *State, _ Millis) {
+	s.cancelJob(JobKey(e))
+}
+
+func (s *State) editJob(t Task, f func(*Job)) {
+	if t.Job == "" {
+		return
+	}
+	key := JobKey{t.Caller, t.Job}
+	old := s.Jobs[key]
+	if old == nil {
+		return
+	}
+	j := *old
+	f(&j)
+	s.Jobs[key] = &j
+}
+
+// Apply adds the job unless one of its name exists.
+func (e JobSubmitted) Apply(s *State, at Millis) {
+	if s.Jobs[e.Job.KeyOf()] == nil {
+		s.putJob(e.Job, at)
+	}
+}
+
+// Apply charges the target.
+func (e TaskAssigned) Apply(s *State, at Millis) {
+	s.edit(e.ID, func(t *Task) {
+		t.State = Assigned
+		t.Attempt = e.Attempt
+		t.Target = e.Target
+		t.Daemon = e.Daemon
+		t.Life = e.Life
+		t.Charge = e.Charge
+		t.Since = at
+		t.Stopping = false
+	})
+}
+
+// Apply gives the task its outcome and frees its charge.
+func (e TaskEnded) Apply(s *State, at Millis) {
+	s.edit(e.ID, func(t *Task) {
+		if e.Attempt != 0 && e.Attempt != t.Attempt {
+			return
+		}
+		t.State = Ended
+		t.Outcome = e.Outcome
+		t.Reason = e.Reason
+		t.Answer = e.Answer
+		t.Status = e.Status
+		t.Since = at
+		s.editJob(*t, func(j *Job) { j.count(e.Outcome) })
+	})
+}
+
+func (j *Job) count(o Outcome) {
+	if o == Done {
+		j.Done++
+		return
+	}
+	j.Failed++
+}
+
+// Apply frees the charge and queues the task.
+func (e TaskRequeued) Apply(s *State, at Millis) {
+	s.edit(e.ID, func(t *Task) {
+		if e.Attempt != t.Attempt || t.State != Assigned {
+			return
+		}
+		t.State = Queued
+		t.Reason = e.Reason
+		t.NotBefore = e.NotBefore
+		t.Stopping = false
+		t.Since = at
+		if e.Checkpoint != "" {
+			t.Checkpoint = e.Checkpoint
+		}
+		if e.Failed {
+			t.Failures++
+		}
+		if e.Preempted {
+			t.Preempted++
+		}
+	})
+}
+
+// Apply moves a queued request to another daemon.
+func (e TaskAttached) Apply(s *State, _ Millis) {
+	s.edit(e.ID, func(t *Task) {
+		if t.State == Queued {
+			t.Daemon, t.Life = e.Daemon, e.Life
+		}
+	})
+}
+
+// Apply marks the attempt as being stopped.
+func (e TaskStopping) Apply(s *State, _ Millis) {
+	s.edit(e.ID, func(t *Task) {
+		t.Stopping = true
+		t.Canceled = t.Canceled || e.Canceled
+		t.Reason = e.Reason
+	})
+}
+
+// Apply adds or replaces the target; marks set by operators are kept.
+func (e TargetAnnounced) Apply(s *State, at Millis) {
+	t := e.Target
+	t.Since = at
+	if old := s.Targets[t.Name]; old != nil {
+		t.Draining, t.Retiring, t.Proof = old.Draining, old.Retiring, old.Proof
+		t.Quarantine, t.ProbeAfter = old.Quarantine, old.ProbeAfter
+		if old.State == TargetRetired {
+			t.State = TargetRetired
+		}
+	}
+	s.Targets[t.Name] = &t
+}
+
+// Apply sets the availability and quarantine of the target.
+func (e TargetMarked) Apply(s *State, at Millis) {
+	s.editTarget(e.Name, func(t *Target) {
+		if t.State != e.State {
+			t.Since = at
+		}
+		t.State = e.State
+		t.Quarantine = e.Quarantine
+		t.ProbeAfter = e.ProbeAfter
+	})
+}
+
+// Apply records the life of the daemon.
+func (e DaemonSeen) Apply(s *State, at Millis) {
+	d := e.Daemon
+	d.Since = at
+	s.Daemons[d.Name] = &d
+}
+
+// Apply completes the retirement.
+func (e CallerProved) Apply(s *State, at Millis) {
+	old := s.Callers[e.Name]
+	if old == nil || old.State != CallerRetiring {
+		return
+	}
+	c := *old
+	c.State = CallerRetired
+	c.Proof = e.Proof
+	c.Since = at
+	s.Callers[e.Name] = &c
+	delete(s.Evidence, Subject{Caller: e.Name})
+}
+
+// Apply completes the retirement.
+func (e TargetProved) Apply(s *State, at Millis) {
+	s.editTarget(e.Name, func(t *Target) {
+		t.State = TargetRetired
+		t.Proof = e.Proof
+		t.Since = at
+	})
+	delete(s.Evidence, Subject{Target: e.Name})
+}
+
+// Apply evicts ended records past their retention.
+func (e RecordsExpired) Apply(s *State, at Millis) {
+	s.expire(e, at)
+}
--- /dev/null
+++ b/internal/control/registrar/change.go
@@ -0,0 +1,272 @@
+package registrar
+
+import (
+	"fmt"
+	"reflect"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// This file is read first: it holds the interface of a logged event and the
+// table of all of them. A new event is a new type with an Apply method and a
+// line in the table. Example: Entry{Events: []Event{TaskEnded{ID: 7, Attempt:
+// 1, Outcome: Done}}} encodes to about 20 bytes.
+
+// Event is one fact in the replicated log. Apply must give the same result on
+// every replica, so it may use only the state, the event and the time of the
+// entry.
+type Event interface {
+	Apply(s *State, at Millis)
+}
+
+// Tag identifies the type of an event in the log. A tag is never used again
+// for another type.
+type Tag uint8
+
+type kindOfEvent struct {
+	tag    Tag
+	sample Event
+	decode func(cbor.RawMessage) (Event, error)
+}
+
+var eventTable = []kindOfEvent{
+	{1, ConfigChanged{}, decodeAs[ConfigChanged]},
+	{2, TaskAdmitted{}, decodeAs[TaskAdmitted]},
+	{3, TaskAssigned{}, decodeAs[TaskAssigned]},
+	{4, TaskEnded{}, decodeAs[TaskEnded]},
+	{5, TaskRequeued{}, decodeAs[TaskRequeued]},
+	{6, TargetAnnounced{}, decodeAs[TargetAnnounced]},
+	{7, TargetMarked{}, decodeAs[TargetMarked]},
+	{8, DaemonSeen{}, decodeAs[DaemonSeen]},
+	{9, CallerProved{}, decodeAs[CallerProved]},
+	{10, RecordsExpired{}, decodeAs[RecordsExpired]},
+	{11, TaskAttached{}, decodeAs[TaskAttached]},
+	{12, TaskStopping{}, decodeAs[TaskStopping]},
+	{13, TargetProved{}, decodeAs[TargetProved]},
+	{14, JobSubmitted{}, decodeAs[JobSubmitted]},
+	{15, JobCanceled{}, decodeAs[JobCanceled]},
+}
+
+var tagByType = indexByType()
+
+func indexByType() map[reflect.Type]Tag {
+	index := make(map[reflect.Type]Tag, len(eventTable))
+	for _, k := range eventTable {
+		index[reflect.TypeOf(k.sample)] = k.tag
+	}
+	return index
+}
+
+func tagOf(e Event) Tag {
+	return tagByType[reflect.TypeOf(e)]
+}
+
+// Entry is the content of one entry of the replicated log.
+type Entry struct {
+	At     Millis // by the clock of the leader that proposed it
+	Events []Event
+}
+
+type wireEvent struct {
+	_    struct{} `cbor:",toarray"`
+	Tag  Tag
+	Body cbor.RawMessage
+}
+
+type wireEntry struct {
+	_      struct{} `cbor:",toarray"`
+	At     Millis
+	Events []wireEvent
+}
+
+var (
+	encMode = mustEncMode()
+	decMode = mustDecMode()
+)
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 24, MaxMapPairs: 1 << 24}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+// Encode returns the bytes of e for the log.
+func (e Entry) Encode() ([]byte, error) {
+	w := wireEntry{At: e.At}
+	for _, ev := range e.Events {
+		body, err := encMode.Marshal(ev)
+		if err != nil {
+			return nil, fmt.Errorf("encode %T: %w", ev, err)
+		}
+		w.Events = append(w.Events, wireEvent{Tag: tagOf(ev), Body: body})
+	}
+	return encMode.Marshal(w)
+}
+
+// DecodeEntry reads an entry of the log.
+func DecodeEntry(data []byte) (Entry, error) {
+	var w wireEntry
+	if err := decMode.Unmarshal(data, &w); err != nil {
+		return Entry{}, fmt.Errorf("decode entry: %w", err)
+	}
+	e := Entry{At: w.At}
+	for _, we := range w.Events {
+		ev, err := decodeEvent(we)
+		if err != nil {
+			return Entry{}, err
+		}
+		e.Events = append(e.Events, ev)
+	}
+	return e, nil
+}
+
+func decodeEvent(we wireEvent) (Event, error) {
+	for _, k := range eventTable {
+		if k.tag == we.Tag {
+			return k.decode(we.Body)
+		}
+	}
+	return nil, fmt.Errorf("decode entry: event tag %d is not known to this version", we.Tag)
+}
+
+func decodeAs[E Event](body cbor.RawMessage) (Event, error) {
+	var e E
+	if err := decMode.Unmarshal(body, &e); err != nil {
+		return nil, fmt.Errorf("decode %T: %w", e, err)
+	}
+	return e, nil
+}
+
+// ConfigChanged is an accepted change of the configuration.
+type ConfigChanged struct {
+	Record ChangeRecord `cbor:"1,keyasint"`
+	Ops    []Op         `cbor:"2,keyasint"`
+}
+
+// Op is one step of a change. Exactly one of the pointers is set.
+type Op struct {
+	PutCaller    *Caller     `cbor:"1,keyasint,omitempty"`
+	RetireCaller CallerName  `cbor:"2,keyasint,omitempty"`
+	PutPolicy    *Policy     `cbor:"3,keyasint,omitempty"`
+	PutJob       *Job        `cbor:"4,keyasint,omitempty"`
+	CancelJob    *JobKey     `cbor:"5,keyasint,omitempty"`
+	DrainTarget  *TargetMark `cbor:"6,keyasint,omitempty"`
+	RetireTarget TargetName  `cbor:"7,keyasint,omitempty"`
+	CancelTask   TaskID      `cbor:"8,keyasint,omitempty"`
+}
+
+// TargetMark sets or clears a mark of a target.
+type TargetMark struct {
+	Name TargetName `cbor:"1,keyasint"`
+	On   bool       `cbor:"2,keyasint,omitempty"`
+}
+
+// TaskAdmitted records an accepted task.
+type TaskAdmitted struct {
+	Task Task `cbor:"1,keyasint"`
+}
+
+// JobSubmitted records a job that a caller submitted.
+type JobSubmitted struct {
+	Job Job `cbor:"1,keyasint"`
+}
+
+// JobCanceled records that a caller withdrew a job.
+type JobCanceled struct {
+	Caller CallerName `cbor:"1,keyasint"`
+	Name   JobName    `cbor:"2,keyasint"`
+}
+
+// TaskAssigned charges a target with the next attempt of a task.
+type TaskAssigned struct {
+	ID      TaskID      `cbor:"1,keyasint"`
+	Attempt Attempt     `cbor:"2,keyasint"`
+	Target  TargetName  `cbor:"3,keyasint"`
+	Daemon  DaemonName  `cbor:"4,keyasint"`
+	Life    Incarnation `cbor:"5,keyasint"`
+	Charge  Need        `cbor:"6,keyasint"`
+}
+
+// TaskEnded gives a task its one outcome. Attempt is 0 when none was assigned.
+type TaskEnded struct {
+	ID      TaskID  `cbor:"1,keyasint"`
+	Attempt Attempt `cbor:"2,keyasint,omitempty"`
+	Outcome Outcome `cbor:"3,keyasint"`
+	Reason  string  `cbor:"4,keyasint,omitempty"`
+	Answer  []byte  `cbor:"5,keyasint,omitempty"`
+	Status  int     `cbor:"6,keyasint,omitempty"`
+}
+
+// TaskRequeued ends an attempt and queues the task again.
+type TaskRequeued struct {
+	ID         TaskID  `cbor:"1,keyasint"`
+	Attempt    Attempt `cbor:"2,keyasint"`
+	Reason     string  `cbor:"3,keyasint,omitempty"`
+	Failed     bool    `cbor:"4,keyasint,omitempty"`
+	NotBefore  Millis  `cbor:"5,keyasint,omitempty"`
+	Checkpoint string  `cbor:"6,keyasint,omitempty"`
+	Preempted  bool    `cbor:"7,keyasint,omitempty"`
+}
+
+// TaskAttached gives a queued request another daemon, which holds its body.
+type TaskAttached struct {
+	ID     TaskID      `cbor:"1,keyasint"`
+	Daemon DaemonName  `cbor:"2,keyasint"`
+	Life   Incarnation `cbor:"3,keyasint"`
+}
+
+// TaskStopping records the decision to stop a running attempt.
+type TaskStopping struct {
+	ID       TaskID `cbor:"1,keyasint"`
+	Canceled bool   `cbor:"2,keyasint,omitempty"`
+	Reason   string `cbor:"3,keyasint,omitempty"`
+}
+
+// TargetAnnounced records a new or altered target.
+type TargetAnnounced struct {
+	Target Target `cbor:"1,keyasint"`
+}
+
+// TargetMarked records the availability and quarantine of a target.
+type TargetMarked struct {
+	Name       TargetName  `cbor:"1,keyasint"`
+	State      TargetState `cbor:"2,keyasint,omitempty"`
+	Quarantine int         `cbor:"3,keyasint,omitempty"`
+	ProbeAfter Millis      `cbor:"4,keyasint,omitempty"`
+}
+
+// DaemonSeen records a new life of a daemon.
+type DaemonSeen struct {
+	Daemon Daemon `cbor:"1,keyasint"`
+}
+
+// CallerProved completes the retirement of a caller.
+type CallerProved struct {
+	Name  CallerName `cbor:"1,keyasint"`
+	Proof []byte     `cbor:"2,keyasint"`
+}
+
+// TargetProved completes the retirement of a target.
+type TargetProved struct {
+	Name  TargetName `cbor:"1,keyasint"`
+	Proof []byte     `cbor:"2,keyasint"`
+}
+
+// RecordsExpired evicts ended records past their retention.
+type RecordsExpired struct {
+	Repeatable time.Duration `cbor:"1,keyasint"`
+	Once       time.Duration `cbor:"2,keyasint"`
+	Jobs       time.Duration `cbor:"3,keyasint"`
+	Changes    time.Duration `cbor:"4,keyasint"`
+}
--- /dev/null
+++ b/internal/control/registrar/enums.go
@@ -0,0 +1,146 @@
+package registrar
+
+import (
+	"fmt"
+	"strings"
+)
+
+// This file holds the closed sets of names: classes, kinds, states, outcomes.
+// Each has a table of names, which the parsers and the tables shown to
+// operators share. Example: ParseClass("Urgent") gives Urgent.
+
+// Class ranks work by how badly it bears waiting. A smaller class goes first.
+type Class uint8
+
+// The classes of work, from the most to the least urgent.
+const (
+	Urgent Class = iota
+	Service
+	Standard
+	Batch
+	classCount
+)
+
+// ClassCount is the number of classes.
+const ClassCount = int(classCount)
+
+var classNames = []string{"Urgent", "Service", "Standard", "Batch"}
+
+// String returns the name of c.
+func (c Class) String() string { return nameOf(classNames, uint8(c)) }
+
+// ParseClass returns the class with the given name.
+func ParseClass(name string) (Class, error) {
+	i, err := parseName("class", classNames, name)
+	return Class(i), err
+}
+
+// Kind tells how the tasks of a job belong together.
+type Kind uint8
+
+// The kinds of work.
+const (
+	Request   Kind = iota // one synchronous call with an answer
+	Services              // long-running replicas, restarted when they end
+	Batches               // independent tasks that each run once
+	AllAtOnce             // tasks that start together or not at all
+)
+
+var kindNames = []string{"Request", "Service", "Batch", "AllAtOnce"}
+
+// String returns the name of k.
+func (k Kind) String() string { return nameOf(kindNames, uint8(k)) }
+
+// ParseKind returns the kind with the given name.
+func ParseKind(name string) (Kind, error) {
+	i, err := parseName("kind", kindNames, name)
+	return Kind(i), err
+}
+
+// TaskState is the state of a task.
+type TaskState uint8
+
+// The states of a task.
+const (
+	Queued TaskState = iota
+	Assigned
+	Ended
+)
+
+var taskStateNames = []string{"Queued", "Assigned", "Ended"}
+
+// String returns the name of s.
+func (s TaskState) String() string { return nameOf(taskStateNames, uint8(s)) }
+
+// Outcome is how a task ended.
+type Outcome uint8
+
+// The outcomes of a task.
+const (
+	NoOutcome Outcome = iota
+	Done              // it ran and its answer is whole
+	Failed            // it ran and failed
+	NotRun            // it provably never started
+	Unknown           // it may have run
+)
+
+var outcomeNames = []string{"", "Done", "Failed", "NotRun", "Unknown"}
+
+// String returns the name of o; an unfinished task has an empty one.
+func (o Outcome) String() string { return nameOf(outcomeNames, uint8(o)) }
+
+// MarshalText encodes o as its name.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// UnmarshalText decodes the name of an outcome.
+func (o *Outcome) UnmarshalText(text []byte) error {
+	i, err := parseName("outcome", outcomeNames, string(text))
+	*o = Outcome(i)
+	return err
+}
+
+// CallerState is the state of the relationship with a caller.
+type CallerState uint8
+
+// The states of a caller.
+const (
+	CallerActive CallerState = iota
+	CallerRetiring
+	CallerRetired
+)
+
+var callerStateNames = []string{"Active", "Retiring", "Retired"}
+
+// String returns the name of s.
+func (s CallerState) String() string { return nameOf(callerStateNames, uint8(s)) }
+
+// TargetState is what the cell holds of a target's availability.
+type TargetState uint8
+
+// The states of a target.
+const (
+	TargetAlive TargetState = iota
+	TargetLost
+	TargetRetired
+)
+
+var targetStateNames = []string{"Alive", "Lost", "Retired"}
+
+// String returns the name of s.
+func (s TargetState) String() string { return nameOf(targetStateNames, uint8(s)) }
+
+func nameOf(names []string, i uint8) string {
+	if int(i) < len(names) {
+		return names[i]
+	}
+	return fmt.Sprintf("%d", i)
+}
+
+func parseName(what string, names []string, name string) (uint8, error) {
+	for i, n := range names {
+		if strings.EqualFold(n, name) {
+			return uint8(i), nil
+		}
+	}
+	return 0, fmt.Errorf("%s %q is not one of %s", what, name, strings.Join(names, ", "))
+}
--- /dev/null
+++ b/internal/control/registrar/snapshot.go
@@ -0,0 +1,122 @@
+package registrar
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// This file makes and restores snapshots of the tables. A snapshot is taken in
+// two steps, so that the goroutine that owns the tables only copies pointers:
+// Freeze on that goroutine, Encode on any other. Tables are written in key
+// order, so two replicas with equal tables give equal bytes.
+
+// Snapshot is a frozen copy of the tables.
+type Snapshot struct {
+	Applied  Index           `cbor:"1,keyasint"`
+	Revision Revision        `cbor:"2,keyasint"`
+	NextTask TaskID          `cbor:"3,keyasint"`
+	Clock    Millis          `cbor:"4,keyasint"`
+	Callers  []*Caller       `cbor:"5,keyasint"`
+	Policies []Policy        `cbor:"6,keyasint"`
+	Jobs     []*Job          `cbor:"7,keyasint"`
+	Tasks    []*Task         `cbor:"8,keyasint"`
+	Targets  []*Target       `cbor:"9,keyasint"`
+	Daemons  []*Daemon       `cbor:"10,keyasint"`
+	Changes  []*ChangeRecord `cbor:"11,keyasint"`
+	Chain    Chain           `cbor:"12,keyasint"`
+	Evidence []Dossier       `cbor:"13,keyasint,omitempty"`
+}
+
+// Freeze copies the tables. Records are shared, since they are never altered.
+func (s *State) Freeze() *Snapshot {
+	snap := &Snapshot{Applied: s.Applied, Revision: s.Revision, NextTask: s.NextTask, Clock: s.Clock, Chain: s.Chain}
+	snap.Callers = values(s.Callers)
+	snap.Jobs = values(s.Jobs)
+	snap.Tasks = values(s.Tasks)
+	snap.Targets = values(s.Targets)
+	snap.Daemons = values(s.Daemons)
+	snap.Changes = values(s.Changes)
+	for subject, links := range s.Evidence {
+		snap.Evidence = append(snap.Evidence, Dossier{subject, links})
+	}
+	for name, value := range s.Policies {
+		snap.Policies = append(snap.Policies, Policy{name, value})
+	}
+	return snap
+}
+
+func values[K comparable, V any](m map[K]V) []V {
+	out := make([]V, 0, len(m))
+	for _, v := range m {
+		out = append(out, v)
+	}
+	return out
+}
+
+// Encode sorts the frozen tables and returns their bytes.
+func (snap *Snapshot) Encode() ([]byte, error) {
+	sortBy(snap.Callers, func(c *Caller) string { return string(c.Name) })
+	sortBy(snap.Policies, func(p Policy) string { return p.Name })
+	sortBy(snap.Jobs, func(j *Job) string { return string(j.Caller) + "\x00" + string(j.Name) })
+	sortBy(snap.Tasks, func(t *Task) TaskID { return t.ID })
+	sortBy(snap.Targets, func(t *Target) string { return string(t.Name) })
+	sortBy(snap.Daemons, func(d *Daemon) string { return string(d.Name) })
+	sortBy(snap.Evidence, func(d Dossier) string { return d.Subject.String() })
+	sortBy(snap.Changes, func(c *ChangeRecord) string { return string(c.ID) })
+	return encMode.Marshal(snap)
+}
+
+func sortBy[T any, K cmp.Ordered](list []T, key func(T) K) {
+	slices.SortFunc(list, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+}
+
+// Restore replaces the tables by those of an encoded snapshot.
+func (s *State) Restore(data []byte) error {
+	var snap Snapshot
+	if err := decMode.Unmarshal(data, &snap); err != nil {
+		return fmt.Errorf("restore snapshot: %w", err)
+	}
+	fresh := New()
+	fresh.OnEvent = s.OnEvent
+	fresh.Applied, fresh.Revision = snap.Applied, snap.Revision
+	fresh.NextTask, fresh.Clock = snap.NextTask, snap.Clock
+	fresh.Chain = snap.Chain
+	fresh.fill(&snap)
+	*s = *fresh
+	return nil
+}
+
+func (s *State) fill(snap *Snapshot) {
+	for _, c := range snap.Callers {
+		s.Callers[c.Name] = c
+	}
+	for _, d := range snap.Evidence {
+		s.Evidence[d.Subject] = d.Links
+	}
+	for _, p := range snap.Policies {
+		s.Policies[p.Name] = p.Value
+	}
+	for _, j := range snap.Jobs {
+		s.Jobs[j.KeyOf()] = j
+	}
+	for _, t := range snap.Targets {
+		s.Targets[t.Name] = t
+	}
+	for _, d := range snap.Daemons {
+		s.Daemons[d.Name] = d
+	}
+	for _, c := range snap.Changes {
+		s.Changes[c.ID] = c
+	}
+	for _, t := range snap.Tasks {
+		s.Tasks[t.ID] = t
+		s.index(t)
+		if t.State == Ended {
+			s.retain(t)
+		}
+	}
+	for r := range s.ended {
+		sortBy(s.ended[r], func(e endedTask) Millis { return e.at })
+	}
+}
--- /dev/null
+++ b/internal/control/registrar/state.go
@@ -0,0 +1,262 @@
+// Package registrar keeps the replicated tables of the cell: callers,
+// policies, jobs, tasks, targets, daemons and accepted changes. It applies the
+// entries of the log to them and makes and restores snapshots. It decides
+// nothing: the leader decides, and the log holds the decisions.
+package registrar
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// State holds the tables. It is owned by one goroutine.
+type State struct {
+	Applied  Index
+	Revision Revision
+	NextTask TaskID
+	Clock    Millis // the latest time of an applied entry
+	Chain    Chain  // over all applied entries
+
+	Callers  map[CallerName]*Caller
+	Policies map[string]string
+	Jobs     map[JobKey]*Job
+	Tasks    map[TaskID]*Task
+	Targets  map[TargetName]*Target
+	Daemons  map[DaemonName]*Daemon
+	Changes  map[ChangeID]*ChangeRecord
+	// Evidence holds the entries that a retirement in progress rests on.
+	Evidence map[Subject][]Link
+
+	// Derived from the tables above.
+	ByKey    map[RequestKey]TaskID
+	ByTarget map[TargetName]map[TaskID]*Task // assigned tasks
+	ByJob    map[JobKey]map[TaskID]*Task     // unfinished tasks
+	ended    [retentionCount][]endedTask     // in order of their end
+
+	// OnEvent, when set, is called after each applied event.
+	OnEvent func(Event)
+}
+
+type endedTask struct {
+	id TaskID
+	at Millis
+}
+
+// New returns empty tables.
+func New() *State {
+	return &State{
+		NextTask: 1,
+		Callers:  make(map[CallerName]*Caller),
+		Policies: make(map[string]string),
+		Jobs:     make(map[JobKey]*Job),
+		Tasks:    make(map[TaskID]*Task),
+		Targets:  make(map[TargetName]*Target),
+		Daemons:  make(map[DaemonName]*Daemon),
+		Changes:  make(map[ChangeID]*ChangeRecord),
+		Evidence: make(map[Subject][]Link),
+		ByKey:    make(map[RequestKey]TaskID),
+		ByTarget: make(map[TargetName]map[TaskID]*Task),
+		ByJob:    make(map[JobKey]map[TaskID]*Task),
+	}
+}
+
+// Apply applies the encoded entry of the log at the given index. Entries at or
+// below the applied index are passed over.
+func (s *State) Apply(index Index, data []byte) (Entry, error) {
+	if index <= s.Applied {
+		return Entry{}, nil
+	}
+	e, err := DecodeEntry(data)
+	if err != nil {
+		return e, err
+	}
+	s.Applied = index
+	s.Clock = max(s.Clock, e.At)
+	link := Link{Index: index, Before: s.Chain, Data: data}
+	s.Chain = link.After()
+	s.gather(link, e)
+	for _, ev := range e.Events {
+		ev.Apply(s, e.At)
+		if s.OnEvent != nil {
+			s.OnEvent(ev)
+		}
+	}
+	return e, nil
+}
+
+// Skip notes an entry of the log that holds no events.
+func (s *State) Skip(index Index) {
+	s.Applied = max(s.Applied, index)
+}
+
+// Used returns what the assigned tasks of a target are charged in sum, and
+// their number.
+func (s *State) Used(name TargetName) (Need, int) {
+	var sum Need
+	tasks := s.ByTarget[name]
+	for _, t := range tasks {
+		sum = sum.Plus(t.Charge)
+	}
+	return sum, len(tasks)
+}
+
+// Lookup returns the task of a request key, or nil.
+func (s *State) Lookup(key RequestKey) *Task {
+	id, ok := s.ByKey[key]
+	if !ok {
+		return nil
+	}
+	return s.Tasks[id]
+}
+
+// TasksOf returns the unfinished tasks of a caller by ascending id.
+func (s *State) TasksOf(name CallerName) []*Task {
+	var out []*Task
+	for _, t := range s.Tasks {
+		if t.Caller == name && t.State != Ended {
+			out = append(out, t)
+		}
+	}
+	SortTasks(out)
+	return out
+}
+
+// SortTasks sorts tasks by ascending id.
+func SortTasks(tasks []*Task) {
+	slices.SortFunc(tasks, func(a, b *Task) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// put replaces the record of a task and keeps the derived tables current.
+func (s *State) put(t Task) {
+	old := s.Tasks[t.ID]
+	if old != nil {
+		s.unindex(old)
+	}
+	rec := &t
+	s.Tasks[t.ID] = rec
+	s.index(rec)
+	if t.State == Ended && (old == nil || old.State != Ended) {
+		s.retain(rec)
+	}
+}
+
+// retention is a group of ended tasks that are kept equally long.
+type retention int
+
+const (
+	retainRepeatable retention = iota
+	retainOnce
+	retainJobs
+	retentionCount
+)
+
+func retentionOf(t *Task) retention {
+	switch {
+	case t.Once:
+		return retainOnce
+	case t.Job != "":
+		return retainJobs
+	}
+	return retainRepeatable
+}
+
+func (s *State) retain(t *Task) {
+	r := retentionOf(t)
+	s.ended[r] = append(s.ended[r], endedTask{t.ID, t.Since})
+}
+
+func (s *State) index(t *Task) {
+	if t.Key != "" {
+		s.ByKey[RequestKey{t.Caller, t.Key}] = t.ID
+	}
+	if t.State == Assigned {
+		insert(s.ByTarget, t.Target, t)
+	}
+	if t.State != Ended && t.Job != "" {
+		insert(s.ByJob, JobKey{t.Caller, t.Job}, t)
+	}
+}
+
+func (s *State) unindex(t *Task) {
+	if t.State == Assigned {
+		remove(s.ByTarget, t.Target, t.ID)
+	}
+	if t.State != Ended && t.Job != "" {
+		remove(s.ByJob, JobKey{t.Caller, t.Job}, t.ID)
+	}
+}
+
+func insert[K comparable](index map[K]map[TaskID]*Task, key K, t *Task) {
+	m := index[key]
+	if m == nil {
+		m = make(map[TaskID]*Task)
+		index[key] = m
+	}
+	m[t.ID] = t
+}
+
+func remove[K comparable](index map[K]map[TaskID]*Task, key K, id TaskID) {
+	m := index[key]
+	delete(m, id)
+	if len(m) == 0 {
+		delete(index, key)
+	}
+}
+
+func (s *State) forget(t *Task) {
+	delete(s.Tasks, t.ID)
+	key := RequestKey{t.Caller, t.Key}
+	if t.Key != "" && s.ByKey[key] == t.ID {
+		delete(s.ByKey, key)
+	}
+}
+
+func (s *State) expire(e RecordsExpired, at Millis) {
+	s.expireTasks(retainRepeatable, at.Add(-e.Repeatable))
+	s.expireTasks(retainOnce, at.Add(-e.Once))
+	s.expireTasks(retainJobs, at.Add(-e.Jobs))
+	for id, c := range s.Changes {
+		if at >= c.At.Add(e.Changes) {
+			delete(s.Changes, id)
+		}
+	}
+	s.expireJobs(e, at)
+}
+
+func (s *State) expireJobs(e RecordsExpired, at Millis) {
+	for key, j := range s.Jobs {
+		over := j.Kind != Services && j.Done+j.Failed >= j.Count
+		if (over || j.Canceled) && at >= j.Since.Add(e.Jobs) {
+			delete(s.Jobs, key)
+		}
+	}
+}
+
+// expireTasks evicts the tasks of one retention that ended before the given
+// time.
+func (s *State) expireTasks(r retention, before Millis) {
+	list := s.ended[r]
+	n := 0
+	for n < len(list) && list[n].at < before {
+		if t := s.Tasks[list[n].id]; t != nil {
+			s.forget(t)
+		}
+		n++
+	}
+	if n > 0 {
+		s.ended[r] = append([]endedTask(nil), list[n:]...)
+	}
+}
+
+// HasExpired reports whether any ended task is past its retention at the given
+// time.
+func (s *State) HasExpired(repeatable, once, jobs time.Duration, at Millis) bool {
+	keep := [retentionCount]time.Duration{retainRepeatable: repeatable, retainOnce: once, retainJobs: jobs}
+	for r, list := range s.ended {
+		if len(list) > 0 && list[0].at < at.Add(-keep[r]) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/retirer/retirer.go
@@ -0,0 +1,218 @@
+// Package retirer builds and verifies proofs that a caller or a target is
+// retired: that nothing of it is queued, runs, or can start again.
+package retirer
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"masticroad/internal/control/registrar"
+)
+
+// Proof states what a retirement rests on. It is exported as JSON.
+type Proof struct {
+	Cell       string
+	Caller     registrar.CallerName `json:",omitempty"`
+	Target     registrar.TargetName `json:",omitempty"`
+	Revision   registrar.Revision   // of the retiring change
+	Retiring   registrar.Index      // entry that holds the change
+	Term       registrar.Term       // of the leader that completed it
+	Index      registrar.Index      // applied when it was completed
+	At         registrar.Millis
+	Daemons    []DaemonProof
+	Targets    []TargetProof
+	Tasks      []TaskProof
+	Links      []Link
+	ChainAtEnd string // hex digest of the log up to Index
+}
+
+// DaemonProof tells why a daemon can't start anything for the subject.
+type DaemonProof struct {
+	Name registrar.DaemonName
+	Life registrar.Incarnation
+	How  string // Confirmed or LeaseEnded
+	At   registrar.Millis
+}
+
+// TargetProof counts what a target still ran for the subject.
+type TargetProof struct {
+	Name  registrar.TargetName
+	Tasks int // attempts that had to end
+	How   string
+	At    registrar.Millis
+}
+
+// TaskProof tells how a task of the subject ended after the change.
+type TaskProof struct {
+	ID      registrar.TaskID
+	Attempt registrar.Attempt
+	Target  registrar.TargetName `json:",omitempty"`
+	Outcome registrar.Outcome
+	Reason  string
+	At      registrar.Millis
+	Index   registrar.Index
+}
+
+// Link is a log entry with the chain of digests before and after it.
+type Link struct {
+	Index  registrar.Index
+	Before string // hex
+	Data   []byte
+	After  string // hex
+}
+
+// LinksOf converts evidence for export.
+func LinksOf(links []registrar.Link) []Link {
+	var out []Link
+	for _, l := range links {
+		after := l.After()
+		out = append(out, Link{l.Index, hex.EncodeToString(l.Before[:]), l.Data, hex.EncodeToString(after[:])})
+	}
+	return out
+}
+
+// Encode returns the JSON form of a proof.
+func (p *Proof) Encode() ([]byte, error) {
+	return json.MarshalIndent(p, "", "  ")
+}
+
+// Decode reads the JSON form of a proof; unknown fields are errors.
+func Decode(data []byte) (*Proof, error) {
+	var p Proof
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		return nil, fmt.Errorf("proof: %w", err)
+	}
+	return &p, nil
+}
+
+// Finding is one reason why a proof does not hold.
+type Finding struct {
+	Place string
+	Text  string
+}
+
+// String formats the finding for people.
+func (f Finding) String() string { return f.Place + ": " + f.Text }
+
+// Verify checks a proof on its own, without a cell: the digests of its
+// entries, the order of the entries, that the first one holds the retiring
+// change, and that the entries end each listed task and no other event of the
+// subject follows. It returns all findings.
+func Verify(p *Proof) []Finding {
+	v := verifier{proof: p, ended: make(map[registrar.TaskID]TaskProof)}
+	v.checkHead()
+	for i, l := range p.Links {
+		v.checkLink(i, l)
+	}
+	v.checkTasks()
+	v.checkDaemons()
+	return v.findings
+}
+
+type verifier struct {
+	proof    *Proof
+	findings []Finding
+	ended    map[registrar.TaskID]TaskProof
+	retired  bool
+	last     registrar.Index
+}
+
+func (v *verifier) add(place, format string, args ...any) {
+	v.findings = append(v.findings, Finding{place, fmt.Sprintf(format, args...)})
+}
+
+func (v *verifier) checkHead() {
+	p := v.proof
+	if (p.Caller == "") == (p.Target == "") {
+		v.add("Caller", "a proof names either a caller or a target")
+	}
+	if len(p.Links) == 0 {
+		v.add("Links", "no log entry is given")
+	}
+	if p.Retiring == 0 || p.Index < p.Retiring {
+		v.add("Index", "the retirement at entry %d was completed at entry %d", p.Retiring, p.Index)
+	}
+}
+
+func (v *verifier) checkLink(i int, l Link) {
+	place := fmt.Sprintf("Links[%d]", i)
+	before, err := hex.DecodeString(l.Before)
+	if err != nil || len(before) != len(registrar.Chain{}) {
+		v.add(place, "the digest before the entry is not readable")
+		return
+	}
+	link := registrar.Link{Index: l.Index, Before: registrar.Chain(before), Data: l.Data}
+	after := link.After()
+	if hex.EncodeToString(after[:]) != l.After {
+		v.add(place, "the digest of entry %d does not match its content", l.Index)
+	}
+	if l.Index <= v.last || l.Index > v.proof.Index {
+		v.add(place, "entry %d is out of order", l.Index)
+	}
+	if i > 0 && l.Index == v.last+1 && v.proof.Links[i-1].After != l.Before {
+		v.add(place, "entry %d does not follow entry %d", l.Index, v.last)
+	}
+	v.last = l.Index
+	v.readEntry(place, l)
+}
+
+func (v *verifier) readEntry(place string, l Link) {
+	e, err := registrar.DecodeEntry(l.Data)
+	if err != nil {
+		v.add(place, "%v", err)
+		return
+	}
+	for _, ev := range e.Events {
+		v.readEvent(ev, l.Index, e.At)
+	}
+}
+
+func (v *verifier) readEvent(ev registrar.Event, index registrar.Index, at registrar.Millis) {
+	switch ev := ev.(type) {
+	case registrar.ConfigChanged:
+		for _, op := range ev.Ops {
+			hit := v.proof.Caller != "" && op.RetireCaller == v.proof.Caller
+			hit = hit || v.proof.Target != "" && op.RetireTarget == v.proof.Target
+			if hit && index == v.proof.Retiring && ev.Record.Revision == v.proof.Revision {
+				v.retired = true
+			}
+		}
+	case registrar.TaskEnded:
+		v.ended[ev.ID] = TaskProof{ID: ev.ID, Attempt: ev.Attempt, Outcome: ev.Outcome, Index: index, At: at}
+	case registrar.TaskRequeued:
+		if v.proof.Target != "" {
+			v.ended[ev.ID] = TaskProof{ID: ev.ID, Attempt: ev.Attempt, Index: index, At: at}
+		}
+	case registrar.TaskAdmitted:
+		if v.proof.Caller != "" && ev.Task.Caller == v.proof.Caller && index > v.proof.Retiring {
+			v.add("Links", "entry %d admits task %d after the retirement", index, ev.Task.ID)
+		}
+	}
+}
+
+func (v *verifier) checkTasks() {
+	if !v.retired {
+		v.add("Retiring", "no entry holds the retiring change of revision %d at entry %d", v.proof.Revision, v.proof.Retiring)
+	}
+	for i, t := range v.proof.Tasks {
+		e, ok := v.ended[t.ID]
+		if !ok || e.Index != t.Index || e.Outcome != t.Outcome {
+			v.add(fmt.Sprintf("Tasks[%d]", i), "no entry ends task %d as %s at entry %d", t.ID, t.Outcome, t.Index)
+		}
+	}
+}
+
+func (v *verifier) checkDaemons() {
+	if len(v.proof.Daemons) == 0 {
+		v.add("Daemons", "no daemon is listed")
+	}
+	for i, d := range v.proof.Daemons {
+		if d.How != "Confirmed" && d.How != "LeaseEnded" {
+			v.add(fmt.Sprintf("Daemons[%d]", i), "daemon %s neither confirmed nor lost its lease", d.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/controller/queries.go
@@ -0,0 +1,116 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/state/replicator"
+)
+
+// This file runs functions over the tables for other goroutines. A
+// linearizable read waits until a majority has confirmed the leader.
+
+// Tables is what a query may read.
+type Tables struct {
+	State   *registrar.State
+	Decider *decider.Decider // nil unless this replica leads
+	Status  replicator.Status
+	Now     time.Time
+}
+
+type query struct {
+	read  func(*Tables)
+	stale bool
+	done  chan error
+	since time.Time
+}
+
+// ErrNotLeader tells that only the leader can answer.
+var ErrNotLeader = errors.New("this daemon does not lead")
+
+const readTimeout = 3 * time.Second
+
+// Read runs f on the control goroutine once the read is linearizable; with
+// stale set it runs at once, on any daemon. F must not keep what it reads.
+func (c *Controller) Read(ctx context.Context, stale bool, f func(*Tables)) error {
+	q := &query{read: f, stale: stale, done: make(chan error, 1)}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	select {
+	case c.queries <- q:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+	select {
+	case err := <-q.done:
+		return err
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
+// Change passes an operator's change to the decider and waits for its result.
+func (c *Controller) Change(ctx context.Context, ch *decider.Change) (decider.ChangeResult, error) {
+	result := make(chan decider.ChangeResult, 1)
+	ch.Done = func(r decider.ChangeResult) { result <- r }
+	select {
+	case c.changes <- ch:
+	case <-ctx.Done():
+		return decider.ChangeResult{}, errors.Trace(ctx.Err())
+	}
+	select {
+	case r := <-result:
+		return r, nil
+	case <-ctx.Done():
+		return decider.ChangeResult{Uncertain: true}, nil
+	}
+}
+
+func (c *Controller) takeQuery(ctx context.Context, q *query) {
+	switch {
+	case q.stale:
+		c.runQuery(q)
+	case !c.leading:
+		q.done <- ErrNotLeader
+	default:
+		c.nextRead++
+		q.since = c.Now()
+		c.reads[c.nextRead] = q
+		c.Node.Read(ctx, c.nextRead)
+	}
+}
+
+func (c *Controller) runQuery(q *query) {
+	t := &Tables{State: c.state, Status: c.status, Now: c.Now()}
+	if c.leading {
+		t.Decider = c.Decider
+	}
+	q.read(t)
+	q.done <- nil
+}
+
+func (c *Controller) answerReads(ids []replicator.ReadID) {
+	for _, id := range ids {
+		if q := c.reads[id]; q != nil {
+			delete(c.reads, id)
+			c.runQuery(q)
+		}
+	}
+}
+
+func (c *Controller) failQueries() {
+	for id, q := range c.reads {
+		delete(c.reads, id)
+		q.done <- ErrNotLeader
+	}
+}
+
+// Confirm waits until an accepted change is in force and returns its first
+// answer again.
+func (c *Controller) Confirm(ctx context.Context, id registrar.ChangeID, digest registrar.Digest) (decider.ChangeResult, error) {
+	return c.Change(ctx, &decider.Change{ID: id, Known: &digest})
+}
--- /dev/null
+++ b/internal/daemon/gateway/dispatch.go
@@ -0,0 +1,337 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/peer/target"
+)
+
+// This file starts assigned attempts. The lease and the latest time of start
+// are checked right before the bytes are sent. When the outcome of a start is
+// not clear, the target is asked on new connections; the start itself is never
+// sent again.
+
+type attempt struct {
+	assignment decider.Assignment
+	began      time.Time
+	cancel     context.CancelFunc
+	answerType string
+}
+
+const (
+	defaultRunLimit = 10 * time.Minute
+	askTimeout      = 2 * time.Second
+	askPauseMin     = 50 * time.Millisecond
+	askPauseMax     = 2 * time.Second
+	startTimeout    = 3 * time.Second // of a background start
+	transit         = 2 * time.Second
+)
+
+// Why a start is refused at the last moment.
+var (
+	errNoLease = errors.New("the daemon's lease is over")
+	errTooLate = errors.New("the time to start is over")
+	errLeaving = errors.New("the target or the caller is retired")
+	errUnknown = errors.New("the target is not known to this daemon")
+	errNoBody  = errors.New("the daemon does not hold the request")
+)
+
+func (g *Gateway) takeAssignment(a *decider.Assignment) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	id := decider.TaskAttempt{Task: a.Task, Attempt: a.Attempt}
+	if g.attempts[id] != nil {
+		return // sent again after a new connection
+	}
+	if _, reported := g.reports[id]; reported {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	at := &attempt{assignment: *a, began: g.Now(), cancel: cancel}
+	g.attempts[id] = at
+	var p *pending
+	if a.Kind == registrar.Request {
+		p = g.pending[registrar.RequestKey{Caller: a.Caller, Key: a.Key}]
+	}
+	go g.run(ctx, at, p)
+}
+
+// run carries out an attempt.
+func (g *Gateway) run(ctx context.Context, at *attempt, p *pending) {
+	defer at.cancel()
+	a := &at.assignment
+	if a.Kind == registrar.Request && p == nil {
+		g.finish(at, nil, notStarted(errNoBody))
+		return
+	}
+	rec := g.awaitTarget(ctx, a)
+	if rec == nil {
+		g.finish(at, p, notStarted(errUnknown))
+		return
+	}
+	start := g.startOf(a, p)
+	limit := g.runLimit(a, p)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answer, err := g.Targets.Start(ctx, rec.Address, start, func() error { return g.mayStart(a, p) })
+	if err == nil {
+		at.answerType = answer.Type
+		g.finish(at, p, g.done(a, answer))
+		return
+	}
+	g.finish(at, p, g.resolve(at, rec.Address, err))
+}
+
+// awaitTarget returns the target of an assignment. The tables of this daemon
+// may be a little behind the leader's.
+func (g *Gateway) awaitTarget(ctx context.Context, a *decider.Assignment) *registrar.Target {
+	for range viewPolls {
+		v := g.View()
+		if rec := v.Targets[a.Target]; rec != nil && v.Callers[a.Caller] != nil {
+			return rec
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(viewPause):
+		}
+	}
+	return nil
+}
+
+const (
+	viewPolls = 100
+	viewPause = 10 * time.Millisecond
+)
+
+func (g *Gateway) startOf(a *decider.Assignment, p *pending) *target.Start {
+	s := &target.Start{
+		Task: a.Task, Attempt: a.Attempt, Term: a.Term, StartBy: a.StartBy, Caller: a.Caller, Job: a.Job,
+		Ordinal: a.Ordinal, Checkpoint: a.Checkpoint, Need: a.Need,
+		Background: a.Kind != registrar.Request, Body: a.Payload, Type: "application/octet-stream",
+	}
+	if p != nil {
+		s.Body, s.Type = p.request.Body, p.request.Type
+	}
+	return s
+}
+
+// runLimit is the time after which a start is no longer waited for.
+func (g *Gateway) runLimit(a *decider.Assignment, p *pending) time.Duration {
+	if p == nil {
+		return startTimeout
+	}
+	limit := defaultRunLimit
+	if d := p.request.Admit.Deadline; d > 0 {
+		limit = min(limit, max(d.Time().Sub(g.Now()), startTimeout))
+	}
+	if r := p.request.Admit.RunTime; r > 0 {
+		limit = min(limit, max(runTimeFactor*r, startTimeout))
+	}
+	return limit
+}
+
+// runTimeFactor is how many times its declared run time a request may take
+// before its target is asked.
+const runTimeFactor = 4
+
+// mayStart is called right before the first byte is sent.
+func (g *Gateway) mayStart(a *decider.Assignment, p *pending) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.View()
+	t, c := v.Targets[a.Target], v.Callers[a.Caller]
+	switch {
+	case !g.leased():
+		return errNoLease
+	case registrar.MillisOf(g.Now()) >= a.StartBy && !g.WithoutLeaseCheck:
+		return errTooLate
+	case t == nil || t.State == registrar.TargetRetired || t.Retiring || t.Draining || t.Leaving:
+		return errLeaving
+	case c == nil || c.State != registrar.CallerActive:
+		return errLeaving
+	}
+	if p != nil {
+		p.started = true
+		p.startAt = g.Now()
+	}
+	return nil
+}
+
+func notStarted(err error) decider.Report {
+	return decider.Report{Result: decider.ResultRefused, Reason: err.Error()}
+}
+
+func (g *Gateway) done(a *decider.Assignment, answer *target.Answer) decider.Report {
+	if a.Kind != registrar.Request {
+		return decider.Report{} // the target announces the end
+	}
+	return decider.Report{
+		Result: decider.ResultDone, Answer: answer.Body, Status: answer.Status, RunTime: answer.RunTime,
+	}
+}
+
+// resolve finds out what became of a start that gave no whole answer.
+func (g *Gateway) resolve(at *attempt, address string, err error) decider.Report {
+	var never *target.NotStartedError
+	if errors.As(err, &never) {
+		if errors.Is(err, errNoLease) || errors.Is(err, errTooLate) || errors.Is(err, errLeaving) {
+			return notStarted(never.Cause)
+		}
+		return decider.Report{Result: decider.ResultNotStarted, Reason: err.Error()}
+	}
+	var failed *target.FailedError
+	if errors.As(err, &failed) {
+		return decider.Report{Result: decider.ResultFailed, Reason: failed.Error(), Status: failed.Status}
+	}
+	return g.askUntilKnown(at, address, err.Error())
+}
+
+// askUntilKnown asks for the state of an attempt until the target tells it, or
+// the leader has ended the attempt by the target's lease.
+func (g *Gateway) askUntilKnown(at *attempt, address, reason string) decider.Report {
+	a := &at.assignment
+	id := decider.TaskAttempt{Task: a.Task, Attempt: a.Attempt}
+	pause := askPauseMin
+	arrived := a.StartBy.Add(transit)
+	silentTold := false
+	for {
+		st, err := g.ask(address, a)
+		if err == nil {
+			if r, ok := reportOf(st, reason, registrar.MillisOf(g.Now()) >= arrived); ok {
+				return r
+			}
+		} else if !silentTold {
+			silentTold = true
+			g.tell(decider.Report{Task: a.Task, Attempt: a.Attempt, Result: decider.ResultSilent, Reason: reason})
+		}
+		if !g.awaits(id) {
+			return decider.Report{}
+		}
+		time.Sleep(pause)
+		pause = min(2*pause, askPauseMax)
+	}
+}
+
+func (g *Gateway) ask(address string, a *decider.Assignment) (*target.TaskStatus, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return g.Targets.Ask(ctx, address, a.Task, a.Attempt)
+}
+
+// awaits reports whether an attempt is still this daemon's.
+func (g *Gateway) awaits(id decider.TaskAttempt) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	at := g.attempts[id]
+	if at == nil {
+		return false
+	}
+	a := &at.assignment
+	if a.Kind != registrar.Request {
+		return g.Now().Sub(at.began) < defaultRunLimit
+	}
+	p := g.pending[registrar.RequestKey{Caller: a.Caller, Key: a.Key}]
+	return p != nil && g.newest(id)
+}
+
+// newest reports whether no later attempt of the same task was assigned to
+// this daemon. The mutex is held.
+func (g *Gateway) newest(id decider.TaskAttempt) bool {
+	for other := range g.attempts {
+		if other.Task == id.Task && other.Attempt > id.Attempt {
+			return false
+		}
+	}
+	return true
+}
+
+// reportOf turns a target's word on an attempt into a report. Absence counts
+// once the start must have arrived.
+func reportOf(st *target.TaskStatus, reason string, arrived bool) (decider.Report, bool) {
+	r := decider.Report{Reason: st.Reason, Status: st.Status, RunTime: time.Duration(st.RunMillis) * time.Millisecond}
+	switch st.State {
+	case target.StateDone:
+		r.Result, r.Answer = decider.ResultDone, st.Answer
+		if r.Status == 0 {
+			r.Status = http.StatusOK
+		}
+	case target.StateFailed:
+		r.Result = decider.ResultFailed
+	case target.StateStopped:
+		r.Result, r.Checkpoint = decider.ResultStopped, st.Checkpoint
+	case target.StateAbsent:
+		if !arrived {
+			return r, false
+		}
+		r.Result, r.Reason = decider.ResultAbsent, reason
+	default:
+		return r, false
+	}
+	return r, true
+}
+
+// finish reports the result of an attempt and answers the caller. The answer
+// of a repeatable request is given at once; of another one when its outcome is
+// committed.
+func (g *Gateway) finish(at *attempt, p *pending, r decider.Report) {
+	a := &at.assignment
+	id := decider.TaskAttempt{Task: a.Task, Attempt: a.Attempt}
+	r.Task, r.Attempt = a.Task, a.Attempt
+	body := r.Answer
+	if !a.Once {
+		r.Answer = nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current := g.attempts[id] != nil && g.newest(id)
+	delete(g.attempts, id)
+	if r.Result == 0 {
+		return
+	}
+	var settled chan struct{}
+	if r.Result == decider.ResultDone && a.Once && p != nil {
+		settled = make(chan struct{})
+		g.settled[id] = settled
+	}
+	g.report(r)
+	if r.Result != decider.ResultDone || p == nil || !current {
+		return
+	}
+	key := registrar.RequestKey{Caller: a.Caller, Key: a.Key}
+	result := Result{Outcome: registrar.Done, Task: a.Task, Attempt: a.Attempt, Status: r.Status, Body: body, Type: at.answerType}
+	if settled == nil {
+		g.complete(key, result)
+		return
+	}
+	go g.completeSettled(key, result, settled)
+}
+
+func (g *Gateway) completeSettled(key registrar.RequestKey, result Result, settled <-chan struct{}) {
+	<-settled
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.complete(key, result)
+}
+
+// report puts a report into the outbox until it is settled. The mutex is held.
+func (g *Gateway) report(r decider.Report) {
+	id := decider.TaskAttempt{Task: r.Task, Attempt: r.Attempt}
+	g.reports[id] = r
+	g.out.Reports = append(g.out.Reports, r)
+	g.signal()
+}
+
+// tell sends a report that need not be settled.
+func (g *Gateway) tell(r decider.Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.out.Reports = append(g.out.Reports, r)
+	g.signal()
+}
--- /dev/null
+++ b/internal/daemon/gateway/link.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/peer/replica"
+)
+
+// This file keeps the session with the leader. When the session is silent for
+// longer than the limit it is closed together with its connection, and a new
+// one is opened. A new session repeats everything that the leader has not
+// answered.
+
+// link opens one session and serves it until it ends.
+func (g *Gateway) link(ctx context.Context) error {
+	address := g.Leader()
+	if address == "" {
+		return errors.New("no leader is known")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := g.Client.OpenSession(ctx, address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer s.Close()
+	if err := s.Send(g.hello()); err != nil {
+		return errors.Trace(err)
+	}
+	heard := make(chan struct{}, 1)
+	failed := make(chan error, 1)
+	go func() { failed <- g.receive(ctx, s, heard) }()
+	return g.sendLoop(ctx, s, address, heard, failed)
+}
+
+// hello returns the first batch of a session.
+func (g *Gateway) hello() *decider.Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := g.Daemon
+	up := &decider.Upstream{Hello: &d, Leaving: g.stopping}
+	g.out = decider.Upstream{Cancels: g.out.Cancels, Jobs: g.out.Jobs}
+	for _, p := range g.pending {
+		up.Admits = append(up.Admits, p.request.Admit)
+	}
+	for _, r := range g.reports {
+		up.Reports = append(up.Reports, r)
+	}
+	up.Renewal = g.renewal()
+	return up
+}
+
+// renewal returns a request to extend the lease. The mutex is held.
+func (g *Gateway) renewal() *decider.Renewal {
+	g.renewSeq++
+	g.renewals[g.renewSeq] = g.Now()
+	delete(g.renewals, g.renewSeq-keptRenewals)
+	v := g.View()
+	return &decider.Renewal{Seq: g.renewSeq, Revision: v.Revision, Applied: v.Applied}
+}
+
+func (g *Gateway) sendLoop(ctx context.Context, s *replica.Session, address string, heard <-chan struct{}, failed <-chan error) error {
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	last := g.Now()
+	revision := g.View().Revision
+	for {
+		due := false
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-heard:
+			last = g.Now()
+			continue
+		case <-g.wake:
+		case <-renew.C:
+			due = true
+		}
+		if g.Now().Sub(last) > silenceLimit {
+			return errors.Timeoutf("session with %s", address)
+		}
+		if leader := g.Leader(); leader != "" && leader != address {
+			return errors.Errorf("the leader moved to %s", leader)
+		}
+		if r := g.View().Revision; r != revision {
+			revision, due = r, true
+		}
+		up := g.take(due)
+		if up == nil {
+			continue
+		}
+		if err := s.Send(up); err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+// take empties the outbox.
+func (g *Gateway) take(renew bool) *decider.Upstream {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	up := g.out
+	g.out = decider.Upstream{}
+	if renew {
+		up.Renewal = g.renewal()
+	}
+	empty := len(up.Admits)+len(up.Reports)+len(up.Announces)+len(up.Cancels)+len(up.Jobs) == 0
+	if empty && up.Renewal == nil && !up.Leaving {
+		return nil
+	}
+	return &up
+}
+
+// Wake makes the session look at the view, after a change of configuration.
+func (g *Gateway) Wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.signal()
+}
+
+func (g *Gateway) receive(ctx context.Context, s *replica.Session, heard chan<- struct{}) error {
+	for {
+		m, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		select {
+		case heard <- struct{}{}:
+		default:
+		}
+		g.takeDown(ctx, m)
+	}
+}
+
+func (g *Gateway) takeDown(ctx context.Context, m *decider.Downstream) {
+	if m.Grant != nil {
+		g.takeGrant(m.Grant)
+	}
+	for i := range m.Settled {
+		g.takeSettled(m.Settled[i])
+	}
+	for i := range m.Assignments {
+		g.takeAssignment(&m.Assignments[i])
+	}
+	for i := range m.Replies {
+		g.takeReply(ctx, &m.Replies[i])
+	}
+	for i := range m.Targets {
+		g.takeTargetReply(&m.Targets[i])
+	}
+	for i := range m.Orders {
+		g.takeOrder(&m.Orders[i])
+	}
+}
+
+// takeGrant extends the lease from the time at which the renewal was sent. A
+// grant of an older term than the replica knows is passed over.
+func (g *Gateway) takeGrant(grant *decider.Grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sent, ok := g.renewals[grant.Seq]
+	if !ok || grant.Duration <= 0 || grant.Term < g.Term() {
+		return
+	}
+	g.lease.Extend(sent, grant.Duration)
+}
+
+func (g *Gateway) takeSettled(ta decider.TaskAttempt) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.reports, ta)
+	if ch := g.settled[ta]; ch != nil {
+		close(ch)
+		delete(g.settled, ta)
+	}
+}
--- /dev/null
+++ b/internal/daemon/gateway/request.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/controller"
+	"masticroad/internal/peer/replica"
+)
+
+// This file takes in requests and gives their results to the callers that wait
+// for them. Several calls with one key wait for one result.
+
+// Request is a caller's request.
+type Request struct {
+	Admit decider.Admit
+	Body  []byte
+	Type  string // content type of the body
+}
+
+// Result is the typed outcome of a request.
+type Result struct {
+	Outcome    registrar.Outcome
+	Task       registrar.TaskID
+	Attempt    registrar.Attempt
+	Reason     string
+	RetryAfter time.Duration
+	Status     int // of the target's answer
+	Body       []byte
+	Type       string
+	Conflict   bool
+	Retired    bool
+	Pending    bool // no outcome yet
+	Lost       bool // done, but the answer is held nowhere
+}
+
+type pending struct {
+	request *Request
+	arrived time.Time
+	startAt time.Time
+	done    chan struct{}
+	result  *Result
+	waiters int
+	leftAt  time.Time
+	started bool
+}
+
+// Handle runs a request and returns its result. When ctx ends first, the
+// request goes on and the result says Pending.
+func (g *Gateway) Handle(ctx context.Context, r *Request) Result {
+	key := registrar.RequestKey{Caller: r.Admit.Caller, Key: r.Admit.Key}
+	p, refused := g.enter(key, r)
+	if refused != nil {
+		return *refused
+	}
+	defer g.leave(p)
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return Result{Pending: true, Reason: "the request is still in progress"}
+	}
+	return *p.result
+}
+
+// enter joins a request in progress or begins one.
+func (g *Gateway) enter(key registrar.RequestKey, r *Request) (*pending, *Result) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pending[key]; p != nil {
+		if p.request.Admit.Content != r.Admit.Content {
+			return nil, &Result{Conflict: true, Reason: "the key was used with other content"}
+		}
+		p.waiters++
+		g.waiting++
+		return p, nil
+	}
+	if a := g.answers.get(key); a != nil && g.leased() {
+		if a.content != r.Admit.Content {
+			return nil, &Result{Conflict: true, Reason: "the key was used with other content"}
+		}
+		result := a.result
+		return nil, &result
+	}
+	if g.closed || !g.leased() {
+		return nil, &Result{Outcome: registrar.NotRun, Reason: "this daemon takes no new work now", RetryAfter: time.Second}
+	}
+	p := &pending{request: r, arrived: g.Now(), done: make(chan struct{}), waiters: 1}
+	g.pending[key] = p
+	g.waiting++
+	g.out.Admits = append(g.out.Admits, r.Admit)
+	g.signal()
+	return p, nil
+}
+
+func (g *Gateway) leave(p *pending) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting--
+	p.waiters--
+	p.leftAt = g.Now()
+}
+
+// Cancel withdraws a request or a job.
+func (g *Gateway) Cancel(c decider.Cancel) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.out.Cancels = append(g.out.Cancels, c)
+	g.signal()
+}
+
+// SubmitJob passes a job to the leader. That it was taken shows in the tables.
+func (g *Gateway) SubmitJob(j registrar.Job) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.out.Jobs = append(g.out.Jobs, decider.JobRequest{Job: j})
+	g.signal()
+}
+
+// Look returns the result of a request that this daemon holds, if any.
+func (g *Gateway) Look(key registrar.RequestKey) *Result {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.pending[key]; p != nil {
+		return &Result{Pending: true, Reason: "the request is still in progress"}
+	}
+	if a := g.answers.get(key); a != nil {
+		result := a.result
+		return &result
+	}
+	return nil
+}
+
+// complete gives a result to all waiters. The mutex is held.
+func (g *Gateway) complete(key registrar.RequestKey, result Result) {
+	p := g.pending[key]
+	if p == nil {
+		return
+	}
+	delete(g.pending, key)
+	p.result = &result
+	close(p.done)
+	if result.Outcome == registrar.Done {
+		g.answers.put(key, p.request.Admit.Content, result, g.Now())
+	}
+	if g.Watch == nil {
+		return
+	}
+	o := Observation{
+		Caller: key.Caller, Class: p.request.Admit.Class, Outcome: result.Outcome,
+		Total: g.Now().Sub(p.arrived), Started: !p.startAt.IsZero(),
+	}
+	if o.Started {
+		o.Wait = p.startAt.Sub(p.arrived)
+	}
+	g.Watch(o)
+}
+
+// takeReply handles the leader's answer to an admission.
+func (g *Gateway) takeReply(ctx context.Context, r *decider.Reply) {
+	key := registrar.RequestKey{Caller: r.Caller, Key: r.Key}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pending[key]
+	if p == nil {
+		return
+	}
+	result := Result{
+		Outcome: r.Outcome, Task: r.Task, Attempt: r.Attempt, Reason: r.Reason, RetryAfter: r.RetryAfter,
+		Status: r.Status, Body: r.Answer, Conflict: r.Conflict, Retired: r.Retired,
+	}
+	if r.Outcome == registrar.Done && r.Answer == nil {
+		go g.fetch(ctx, key, r.Holder, result)
+		return
+	}
+	g.complete(key, result)
+}
+
+// fetch gets a held answer from another daemon. When it is held nowhere, a
+// repeatable request is run again.
+func (g *Gateway) fetch(ctx context.Context, key registrar.RequestKey, holder registrar.DaemonName, result Result) {
+	reply := &replica.AnswerReply{}
+	if address := g.Client.AddressOf(holder); address != "" && holder != g.Daemon.Name {
+		q := &replica.AnswerQuery{Caller: key.Caller, Key: key.Key}
+		if got, err := g.Client.Answer(ctx, address, q); err == nil {
+			reply = got
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.pending[key]
+	if p == nil {
+		return
+	}
+	if reply.Held {
+		result.Status, result.Body, result.Type = reply.Status, reply.Body, reply.Type
+		g.complete(key, result)
+		return
+	}
+	if p.request.Admit.Once || p.request.Admit.Again {
+		result.Lost = true
+		result.Reason = "done, but the answer is not held any more"
+		g.complete(key, result)
+		return
+	}
+	p.request.Admit.Again = true
+	g.out.Admits = append(g.out.Admits, p.request.Admit)
+	g.signal()
+}
+
+// Answer serves another daemon's question for a held answer.
+func (g *Gateway) Answer(_ context.Context, q *replica.AnswerQuery) (*replica.AnswerReply, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := g.answers.get(registrar.RequestKey{Caller: q.Caller, Key: q.Key})
+	if a == nil {
+		return &replica.AnswerReply{}, nil
+	}
+	return &replica.AnswerReply{Held: true, Status: a.result.Status, Body: a.result.Body, Type: a.result.Type}, nil
+}
+
+// Ended returns the result of a request whose task has ended, with the answer
+// from the daemon that holds it.
+func (g *Gateway) Ended(ctx context.Context, t *registrar.Task) Result {
+	result := Result{Outcome: t.Outcome, Task: t.ID, Attempt: t.Attempt, Reason: t.Reason, Status: t.Status, Body: t.Answer}
+	if t.Outcome != registrar.Done || t.Answer != nil {
+		return result
+	}
+	address := g.Client.AddressOf(t.Daemon)
+	q := &replica.AnswerQuery{Caller: t.Caller, Key: t.Key}
+	if got, err := g.Client.Answer(ctx, address, q); err == nil && got.Held {
+		result.Body, result.Status, result.Type = got.Body, got.Status, got.Type
+		return result
+	}
+	result.Lost = true
+	result.Reason = "done, but the answer is not held any more"
+	return result
+}
+
+// JobOf returns a job as this daemon's tables hold it.
+func (g *Gateway) JobOf(ctx context.Context, key registrar.JobKey) *registrar.Job {
+	var out *registrar.Job
+	err := g.Read(ctx, true, func(t *controller.Tables) { out = t.State.Jobs[key] })
+	if err != nil {
+		return g.View().Jobs[key]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/peer/operator/server.go
@@ -0,0 +1,128 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds the HTTP interface for operators.
+
+// Server serves operators over HTTP. The exported fields are set before
+// Routes.
+type Server struct {
+	Service *Service
+	// Tokens maps the digests of operators' tokens to their names. Without
+	// any, everyone is an operator.
+	Tokens map[string]string
+}
+
+const (
+	maxCall     = 8 << 20
+	callTimeout = 12 * time.Second
+)
+
+// Routes adds the interface to an application.
+func (s *Server) Routes(app *iris.Application) {
+	app.Post("/v1/statements", s.statement)
+	app.Post("/v1/changes", s.change)
+	app.Get("/v1/configuration", s.configuration)
+}
+
+// operator returns the name of the operator, or answers 401.
+func (s *Server) operator(ctx iris.Context) (string, bool) {
+	if len(s.Tokens) == 0 {
+		return "anyone", true
+	}
+	token, _ := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(token))
+	digest := []byte(hex.EncodeToString(sum[:]))
+	name, ok := "", false
+	for known, who := range s.Tokens {
+		if subtle.ConstantTimeCompare(digest, []byte(known)) == 1 {
+			name, ok = who, true
+		}
+	}
+	if !ok {
+		write(ctx, http.StatusUnauthorized, &Reply{Findings: []string{"an operator's token is needed: Authorization: Bearer TOKEN"}})
+	}
+	return name, ok
+}
+
+func (s *Server) statement(ctx iris.Context) {
+	var call StatementCall
+	name, ok := s.operator(ctx)
+	if !ok || !read(ctx, &call) {
+		return
+	}
+	call.Operator = name
+	if call.ChangeID == "" {
+		call.ChangeID = registrar.ChangeID(rand.Text())
+	}
+	s.do(ctx, "Statement", &call)
+}
+
+func (s *Server) change(ctx iris.Context) {
+	var call ChangeCall
+	name, ok := s.operator(ctx)
+	if !ok || !read(ctx, &call) {
+		return
+	}
+	call.Operator = name
+	s.do(ctx, "Change", &call)
+}
+
+func (s *Server) configuration(ctx iris.Context) {
+	if _, ok := s.operator(ctx); ok {
+		s.do(ctx, "Configuration", &struct{}{})
+	}
+}
+
+func (s *Server) do(ctx iris.Context, name string, call any) {
+	c, cancel := context.WithTimeout(ctx.Request().Context(), callTimeout)
+	defer cancel()
+	reply, err := s.Service.Do(c, name, call)
+	switch {
+	case err != nil:
+		write(ctx, http.StatusServiceUnavailable, &Reply{Findings: []string{err.Error()}})
+	case len(reply.Findings) > 0 && reply.Column > 0:
+		write(ctx, http.StatusBadRequest, reply)
+	case len(reply.Findings) > 0:
+		write(ctx, http.StatusConflict, reply)
+	default:
+		write(ctx, http.StatusOK, reply)
+	}
+}
+
+func read(ctx iris.Context, to any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxCall))
+	if err == nil {
+		err = json.Unmarshal(data, to)
+	}
+	if err != nil {
+		write(ctx, http.StatusBadRequest, &Reply{Findings: []string{"the call can't be read: " + err.Error()}})
+	}
+	return err == nil
+}
+
+func write(ctx iris.Context, status int, r *Reply) {
+	data, err := json.Marshal(r)
+	if err != nil {
+		ctx.StatusCode(http.StatusInternalServerError)
+		return
+	}
+	ctx.ContentType("application/json")
+	ctx.StatusCode(status)
+	_, _ = ctx.ResponseWriter().Write(data) // the operator may be gone
+}
--- /dev/null
+++ b/internal/peer/replica/client.go
@@ -0,0 +1,265 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/state/replicator"
+)
+
+// This file holds the calling side: one Client a daemon, with the addresses of
+// the others.
+
+const (
+	queuedEnvelopes = 256
+	silenceLimit    = 1500 * time.Millisecond
+	redialDelay     = 100 * time.Millisecond
+	callTimeout     = 10 * time.Second
+	dialTimeout     = time.Second
+)
+
+// Peer is another daemon of the cell.
+type Peer struct {
+	Name    registrar.DaemonName
+	Address string
+}
+
+// Client sends to other daemons. The exported fields are set before Run.
+type Client struct {
+	Peers       []Peer
+	Credentials credentials.TransportCredentials // nil: without TLS
+	Traffic     *Traffic
+
+	links map[registrar.DaemonName]*link
+}
+
+type link struct {
+	client *Client
+	peer   Peer
+	queue  chan []replicator.Message
+}
+
+// Open prepares the links. It must be called before Send.
+func (c *Client) Open() {
+	c.links = make(map[registrar.DaemonName]*link)
+	for _, p := range c.Peers {
+		c.links[p.Name] = &link{c, p, make(chan []replicator.Message, queuedEnvelopes)}
+	}
+}
+
+// Run keeps a stream to each peer until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for _, l := range c.links {
+		go l.run(ctx)
+	}
+	<-ctx.Done()
+}
+
+// Send queues messages by receiver; a message without one goes to every peer.
+// It drops messages when a queue is full, as a network might.
+func (c *Client) Send(messages []replicator.Message) {
+	if len(messages) == 0 {
+		return
+	}
+	byPeer := make(map[registrar.DaemonName][]replicator.Message)
+	for _, m := range messages {
+		if m.To == "" {
+			for name := range c.links {
+				byPeer[name] = append(byPeer[name], m)
+			}
+			continue
+		}
+		name := registrar.DaemonName(replicator.NameOf(m.To))
+		byPeer[name] = append(byPeer[name], m)
+	}
+	for name, batch := range byPeer {
+		if l := c.links[name]; l != nil {
+			l.push(batch)
+		}
+	}
+}
+
+func (l *link) push(batch []replicator.Message) {
+	select {
+	case l.queue <- batch:
+	default:
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		_ = l.stream(ctx) // the next stream takes over
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialDelay):
+		}
+	}
+}
+
+// stream sends queued messages over one new connection until it fails or goes
+// silent.
+func (l *link) stream(ctx context.Context) error {
+	conn, err := l.client.dial(l.peer.Address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s, err := conn.NewStream(ctx, &serviceDesc.Streams[0], "/"+serviceName+"/Deliver")
+	if err != nil {
+		return errors.Trace(err)
+	}
+	acks := make(chan struct{}, 1)
+	go readAcks(s, acks, cancel)
+	return l.pump(ctx, s, acks)
+}
+
+func readAcks(s grpc.ClientStream, acks chan<- struct{}, cancel func()) {
+	defer cancel()
+	for {
+		var a Ack
+		if s.RecvMsg(&a) != nil {
+			return
+		}
+		select {
+		case acks <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (l *link) pump(ctx context.Context, s grpc.ClientStream, acks <-chan struct{}) error {
+	silence := time.NewTimer(silenceLimit)
+	silence.Stop()
+	defer silence.Stop()
+	waiting := false
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-acks:
+			waiting = false
+			silence.Stop()
+		case <-silence.C:
+			return errors.Timeoutf("connection to %s", l.peer.Name)
+		case batch := <-l.queue:
+			if err := s.SendMsg(&Envelope{Messages: batch}); err != nil {
+				return errors.Trace(err)
+			}
+			if !waiting {
+				waiting = true
+				silence.Reset(silenceLimit)
+			}
+		}
+	}
+}
+
+func (c *Client) dial(address string) (*grpc.ClientConn, error) {
+	creds := c.Credentials
+	if creds == nil {
+		creds = insecure.NewCredentials()
+	}
+	dialer := func(ctx context.Context, address string) (net.Conn, error) {
+		d := net.Dialer{Timeout: dialTimeout}
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil || c.Traffic == nil {
+			return conn, err
+		}
+		return countingConn{conn, c.Traffic}, nil
+	}
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(creds),
+		grpc.WithContextDialer(dialer),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithInitialWindowSize(windowSize),
+		grpc.WithInitialConnWindowSize(windowSize),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: redialDelay, Multiplier: 1.5, Jitter: 0.2, MaxDelay: time.Second},
+			MinConnectTimeout: dialTimeout,
+		}),
+	)
+}
+
+// AddressOf returns the address of a peer, or an empty text.
+func (c *Client) AddressOf(name registrar.DaemonName) string {
+	for _, p := range c.Peers {
+		if p.Name == name {
+			return p.Address
+		}
+	}
+	return ""
+}
+
+// Session is a daemon's end of a session with the leader, on a connection of
+// its own.
+type Session struct {
+	conn   *grpc.ClientConn
+	stream grpc.ClientStream
+	cancel context.CancelFunc
+}
+
+// OpenSession connects to the leader.
+func (c *Client) OpenSession(ctx context.Context, address string) (*Session, error) {
+	conn, err := c.dial(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s, err := conn.NewStream(ctx, &serviceDesc.Streams[1], "/"+serviceName+"/Session")
+	if err != nil {
+		cancel()
+		_ = conn.Close()
+		return nil, errors.Trace(err)
+	}
+	return &Session{conn, s, cancel}, nil
+}
+
+// Send passes a batch to the leader.
+func (s *Session) Send(m *decider.Upstream) error { return s.stream.SendMsg(m) }
+
+// Recv returns the next batch of the leader.
+func (s *Session) Recv() (*decider.Downstream, error) {
+	m := &decider.Downstream{}
+	return m, s.stream.RecvMsg(m)
+}
+
+// Close ends the session and its connection.
+func (s *Session) Close() {
+	s.cancel()
+	_ = s.conn.Close()
+}
+
+// Call forwards an operator's call to a daemon.
+func (c *Client) Call(ctx context.Context, address string, call *Call) (*CallReply, error) {
+	out := &CallReply{}
+	return out, c.invoke(ctx, address, "Call", call, out)
+}
+
+// Answer asks a daemon for an answer that it holds.
+func (c *Client) Answer(ctx context.Context, address string, q *AnswerQuery) (*AnswerReply, error) {
+	out := &AnswerReply{}
+	return out, c.invoke(ctx, address, "Answer", q, out)
+}
+
+func (c *Client) invoke(ctx context.Context, address, method string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := c.dial(address)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return errors.Annotatef(conn.Invoke(ctx, "/"+serviceName+"/"+method, in, out), "call %s at %s", method, address)
+}
--- /dev/null
+++ b/internal/peer/replica/server.go
@@ -0,0 +1,108 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"masticroad/internal/control/decider"
+)
+
+// This file holds the serving side.
+
+const (
+	ackInterval       = 300 * time.Millisecond
+	keepaliveInterval = 10 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	gracefulStop      = time.Second
+	windowSize        = 1 << 20
+)
+
+// Server serves the protocol. The exported fields are set before Run.
+type Server struct {
+	Handler     Handler
+	Listener    net.Listener
+	Credentials credentials.TransportCredentials // nil: without TLS
+	Traffic     *Traffic
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	opts := []grpc.ServerOption{
+		grpc.ForceServerCodec(codec{}),
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.InitialWindowSize(windowSize),
+		grpc.InitialConnWindowSize(windowSize),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
+	}
+	if s.Credentials != nil {
+		opts = append(opts, grpc.Creds(s.Credentials))
+	}
+	g := grpc.NewServer(opts...)
+	g.RegisterService(&serviceDesc, s.Handler)
+	go func() {
+		<-ctx.Done()
+		timer := time.AfterFunc(gracefulStop, g.Stop)
+		g.GracefulStop()
+		timer.Stop()
+	}()
+	return g.Serve(countingListener{s.Listener, s.Traffic})
+}
+
+// serveDeliver takes in envelopes and acknowledges them from time to time, so
+// that the sender notices a connection that went silent.
+func serveDeliver(srv any, stream grpc.ServerStream) error {
+	h := srv.(Handler)
+	var count atomic.Uint64
+	go acknowledge(stream, &count)
+	for {
+		var e Envelope
+		if err := stream.RecvMsg(&e); err != nil {
+			return err
+		}
+		count.Add(1)
+		h.Receive(e.Messages)
+	}
+}
+
+func acknowledge(stream grpc.ServerStream, count *atomic.Uint64) {
+	tick := time.NewTicker(ackInterval)
+	defer tick.Stop()
+	acked := uint64(0)
+	for {
+		select {
+		case <-stream.Context().Done():
+			return
+		case <-tick.C:
+		}
+		n := count.Load()
+		if n == acked {
+			continue
+		}
+		acked = n
+		if stream.SendMsg(&Ack{Count: n}) != nil {
+			return
+		}
+	}
+}
+
+func serveSession(srv any, stream grpc.ServerStream) error {
+	return srv.(Handler).Session(stream.Context(), serverSession{stream})
+}
+
+type serverSession struct {
+	stream grpc.ServerStream
+}
+
+func (s serverSession) Send(m *decider.Downstream) error { return s.stream.SendMsg(m) }
+
+func (s serverSession) Recv() (*decider.Upstream, error) {
+	m := &decider.Upstream{}
+	return m, s.stream.RecvMsg(m)
+}
--- /dev/null
+++ b/internal/peer/target/client.go
@@ -0,0 +1,270 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file calls targets. A start is sent at most once: it is never repeated
+// by the HTTP library, and an error tells whether any byte may have been sent.
+// The kernel drops unacknowledged bytes after Transit, so that a start does not
+// arrive long after the cell gave it up.
+
+const (
+	idleConnsPerTarget = 16
+	idleTimeout        = 30 * time.Second
+	connectTimeout     = time.Second
+	maxStatusBody      = 8 << 20
+)
+
+// Client calls targets. The exported fields are set before Open.
+type Client struct {
+	MaxConns  int // connections to one target
+	MaxAnswer int // bytes of one answer
+	Transit   time.Duration
+
+	pooled *http.Client // keeps connections
+	single *http.Client // a new connection for each call
+}
+
+// NotStartedError tells that a start surely did not reach its target.
+type NotStartedError struct {
+	Cause error
+}
+
+// Error describes the cause.
+func (e *NotStartedError) Error() string { return "not started: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *NotStartedError) Unwrap() error { return e.Cause }
+
+// BrokenAnswerError tells that an answer was not whole or not of its attempt.
+type BrokenAnswerError struct {
+	Reason string
+}
+
+// Error describes what was wrong.
+func (e *BrokenAnswerError) Error() string { return "broken answer: " + e.Reason }
+
+// FailedError tells that the attempt ran and failed.
+type FailedError struct {
+	Status int
+	Reason string
+}
+
+// Error describes the failure.
+func (e *FailedError) Error() string {
+	return fmt.Sprintf("failed with status %d: %s", e.Status, e.Reason)
+}
+
+// Open prepares the HTTP clients.
+func (c *Client) Open() {
+	dialer := &net.Dialer{Timeout: connectTimeout, Control: c.limitTransit}
+	pooled := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxConnsPerHost:     c.MaxConns,
+		MaxIdleConnsPerHost: idleConnsPerTarget,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	single := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	c.pooled = &http.Client{Transport: pooled, CheckRedirect: noRedirect}
+	c.single = &http.Client{Transport: single, CheckRedirect: noRedirect}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// limitTransit makes the kernel give up bytes that are not acknowledged in
+// time.
+func (c *Client) limitTransit(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(c.Transit.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// Start sends one start and waits for its answer. For a background start the
+// answer is empty.
+func (c *Client) Start(ctx context.Context, address string, s *Start, mayStart func() error) (*Answer, error) {
+	wrote := &atomic.Bool{}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
+	req, err := c.startRequest(httptrace.WithClientTrace(ctx, trace), address, s)
+	if err != nil {
+		return nil, &NotStartedError{err}
+	}
+	req.Body = &guardedBody{Reader: bytes.NewReader(s.Body), check: mayStart}
+	began := time.Now()
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		if guard := req.Body.(*guardedBody); guard.refused != nil {
+			return nil, &NotStartedError{guard.refused}
+		}
+		if !wrote.Load() {
+			return nil, &NotStartedError{err}
+		}
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return c.readAnswer(resp, s, began)
+}
+
+// guardedBody asks for permission when the HTTP library takes the body to send
+// it, which is after it has a connection. The declared length is one more than
+// nothing, so a start without its body is never whole.
+type guardedBody struct {
+	*bytes.Reader
+	check   func() error
+	refused error
+	asked   bool
+}
+
+// Read returns the body once permission was given.
+func (g *guardedBody) Read(p []byte) (int, error) {
+	if !g.asked {
+		g.asked = true
+		if g.check != nil {
+			g.refused = g.check()
+		}
+	}
+	if g.refused != nil {
+		return 0, g.refused
+	}
+	return g.Reader.Read(p)
+}
+
+// Close does nothing.
+func (g *guardedBody) Close() error { return nil }
+
+func (c *Client) startRequest(ctx context.Context, address string, s *Start) (*http.Request, error) {
+	u := taskURL(address, s.Task, "start", s.Attempt)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Body) == 0 {
+		s.Body = []byte("{}")
+	}
+	req.ContentLength = int64(len(s.Body))
+	h := req.Header
+	h.Set("Content-Type", s.Type)
+	h.Set(HeaderTask, strconv.FormatUint(uint64(s.Task), 10))
+	h.Set(HeaderAttempt, strconv.FormatUint(uint64(s.Attempt), 10))
+	h.Set(HeaderTerm, strconv.FormatUint(uint64(s.Term), 10))
+	h.Set(HeaderStartBy, strconv.FormatInt(int64(s.StartBy), 10))
+	h.Set(HeaderDigest, DigestOf(s.Body))
+	h.Set(HeaderCaller, string(s.Caller))
+	h.Set(HeaderNeed, FormatNeed(s.Need))
+	if s.Background {
+		h.Set(HeaderBackground, "true")
+		h.Set(HeaderJob, string(s.Job))
+		h.Set(HeaderOrdinal, strconv.Itoa(s.Ordinal))
+	}
+	if s.Checkpoint != "" {
+		h.Set(HeaderCheckpoint, s.Checkpoint)
+	}
+	return req, nil
+}
+
+// readAnswer reads a whole answer and checks that it belongs to its attempt.
+func (c *Client) readAnswer(resp *http.Response, s *Start, began time.Time) (*Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.MaxAnswer)+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > c.MaxAnswer {
+		return nil, &FailedError{resp.StatusCode, fmt.Sprintf("answer is larger than %d bytes", c.MaxAnswer)}
+	}
+	if err := checkAnswer(resp, s, body); err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, &FailedError{resp.StatusCode, firstLine(body)}
+	}
+	return &Answer{resp.StatusCode, resp.Header.Get("Content-Type"), body, time.Since(began)}, nil
+}
+
+func checkAnswer(resp *http.Response, s *Start, body []byte) error {
+	if got, want := resp.Header.Get(HeaderTask), strconv.FormatUint(uint64(s.Task), 10); got != want {
+		return &BrokenAnswerError{fmt.Sprintf("it is for task %q, not %q", got, want)}
+	}
+	if got, want := resp.Header.Get(HeaderAttempt), strconv.FormatUint(uint64(s.Attempt), 10); got != want {
+		return &BrokenAnswerError{fmt.Sprintf("it is for attempt %q, not %q", got, want)}
+	}
+	if resp.ContentLength >= 0 && resp.ContentLength != int64(len(body)) {
+		return &BrokenAnswerError{fmt.Sprintf("%d of %d bytes arrived", len(body), resp.ContentLength)}
+	}
+	if got := resp.Header.Get(HeaderDigest); got != DigestOf(body) {
+		return &BrokenAnswerError{"its digest does not match"}
+	}
+	return nil
+}
+
+const maxReason = 200
+
+func firstLine(body []byte) string {
+	line, _, _ := bytes.Cut(body, []byte("\n"))
+	return string(line[:min(len(line), maxReason)])
+}
+
+func taskURL(address string, id registrar.TaskID, verb string, a registrar.Attempt) string {
+	path := PathTasks + strconv.FormatUint(uint64(id), 10)
+	if verb != "" {
+		path += "/" + verb
+	}
+	u := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: "attempt=" + strconv.FormatUint(uint64(a), 10)}
+	return u.String()
+}
+
+// Ask returns the state of an attempt, on a connection of its own.
+func (c *Client) Ask(ctx context.Context, address string, id registrar.TaskID, a registrar.Attempt) (*TaskStatus, error) {
+	return c.status(ctx, http.MethodGet, taskURL(address, id, "", a))
+}
+
+// Order sends "stop", "checkpoint" or "throttle" for an attempt and returns its
+// state afterwards.
+func (c *Client) Order(ctx context.Context, address string, id registrar.TaskID, a registrar.Attempt, verb string) (*TaskStatus, error) {
+	return c.status(ctx, http.MethodPost, taskURL(address, id, verb, a))
+}
+
+func (c *Client) status(ctx context.Context, method, u string) (*TaskStatus, error) {
+	req, err := http.NewRequestWithContext(ctx, method, u, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.single.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var st TaskStatus
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxStatusBody))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, &FailedError{resp.StatusCode, firstLine(body)}
+	}
+	if err := json.Unmarshal(body, &st); err != nil {
+		return nil, &BrokenAnswerError{err.Error()}
+	}
+	return &st, nil
+}
--- /dev/null
+++ b/internal/settings/declarer/declarer.go
@@ -0,0 +1,240 @@
+// Package declarer reads declarations kept in version control and compares them
+// with the configuration in force.
+package declarer
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/language/evaluator"
+	"masticroad/internal/settings/collector"
+)
+
+// Declared is the content of declaration files.
+type Declared struct {
+	Callers  []registrar.Caller
+	Jobs     []registrar.Job
+	Policies []registrar.Policy
+}
+
+// Configuration is the configuration in force, as a daemon tells it.
+type Configuration struct {
+	Revision registrar.Revision
+	Index    registrar.Index
+	Callers  []registrar.Caller
+	Jobs     []registrar.Job
+	Policies []registrar.Policy
+}
+
+// Step is one line of a plan.
+type Step struct {
+	Sign string // + create, ~ change, - cancel
+	Text string
+	Op   registrar.Op
+}
+
+// Load reads declaration files and returns all findings together.
+func Load(paths []string) (*Declared, collector.Findings) {
+	d := &Declared{}
+	var findings collector.Findings
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			findings = append(findings, collector.Finding{File: path, Text: err.Error()})
+			continue
+		}
+		findings = append(findings, d.Parse(path, string(data))...)
+	}
+	return d, findings
+}
+
+// Parse adds the declarations of one text.
+func (d *Declared) Parse(path, text string) collector.Findings {
+	file, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, []byte(text))
+	if err != nil {
+		return collector.Findings{{File: path, Text: "not an INI file: " + err.Error()}}
+	}
+	p := &parsing{path: path, lines: collector.ReadLines(text), out: d}
+	for _, s := range file.Sections() {
+		if s.Name() != ini.DefaultSection || len(s.Keys()) > 0 {
+			p.section(s)
+		}
+	}
+	return p.findings
+}
+
+type parsing struct {
+	path     string
+	lines    collector.Lines
+	out      *Declared
+	findings collector.Findings
+}
+
+const sectionForms = "[Policies], [Caller name], [Service caller/name], [Batch caller/name], [AllAtOnce caller/name]"
+
+func (p *parsing) add(section, key, text, allowed string) {
+	name := section
+	if key != "" {
+		name += "." + key
+	}
+	p.findings = append(p.findings, collector.Finding{File: p.path, Line: p.lines.Of(section, key), Key: name, Text: text, Allowed: allowed})
+}
+
+func (p *parsing) section(s *ini.Section) {
+	kind, name, _ := strings.Cut(s.Name(), " ")
+	name = strings.TrimSpace(name)
+	switch kind {
+	case "Policies":
+		p.policies(s)
+	case "Caller":
+		p.caller(s, name)
+	case "Service", "Batch", "AllAtOnce":
+		p.job(s, kind, name)
+	default:
+		p.add(s.Name(), "", "unknown section", sectionForms)
+	}
+}
+
+func (p *parsing) policies(s *ini.Section) {
+	for _, k := range s.Keys() {
+		if err := decider.CheckPolicy(k.Name(), k.String()); err != nil {
+			p.add(s.Name(), k.Name(), err.Error(), "")
+			continue
+		}
+		p.out.Policies = append(p.out.Policies, registrar.Policy{Name: decider.CanonicalPolicy(k.Name()), Value: k.String()})
+	}
+}
+
+func (p *parsing) caller(s *ini.Section, name string) {
+	if !decider.ValidName(name) {
+		p.add(s.Name(), "", fmt.Sprintf("%q is not a name of a caller", name), "letters, digits, dots, dashes")
+		return
+	}
+	c := registrar.Caller{Name: registrar.CallerName(name), Class: registrar.Standard}
+	for _, k := range s.Keys() {
+		if err := evaluator.SetCallerField(&c, k.Name(), k.String()); err != nil {
+			p.add(s.Name(), k.Name(), err.Error(), "")
+		}
+	}
+	if c.TokenDigest == "" {
+		p.add(s.Name(), "TokenDigest", "missing", "the SHA-256 digest of the caller's token, in hex")
+	}
+	if slices.ContainsFunc(p.out.Callers, func(o registrar.Caller) bool { return o.Name == c.Name }) {
+		p.add(s.Name(), "", "declared twice", "")
+	}
+	p.out.Callers = append(p.out.Callers, c)
+}
+
+func (p *parsing) job(s *ini.Section, kind, name string) {
+	caller, job, ok := strings.Cut(name, "/")
+	if !ok || !decider.ValidName(caller) || !decider.ValidName(job) {
+		p.add(s.Name(), "", fmt.Sprintf("%q does not name a caller and a job", name), sectionForms)
+		return
+	}
+	k, _ := registrar.ParseKind(kind)
+	j := registrar.Job{Name: registrar.JobName(job), Caller: registrar.CallerName(caller), Kind: k, Count: 1, Class: registrar.Batch}
+	if k == registrar.Services {
+		j.Class = registrar.Service
+	}
+	for _, key := range s.Keys() {
+		if err := evaluator.SetJobField(&j, key.Name(), key.String()); err != nil {
+			p.add(s.Name(), key.Name(), err.Error(), "")
+		}
+	}
+	if j.Need.CPU <= 0 || j.Need.Memory <= 0 {
+		p.add(s.Name(), "", "CPU and Memory are required", "whole numbers above 0")
+	}
+	j.Digest = decider.DigestJob(&j)
+	p.out.Jobs = append(p.out.Jobs, j)
+}
+
+// Plan returns the steps that bring the configuration in force to what is
+// declared. Callers that are not declared stay, since retirement is final;
+// services that are not declared are canceled.
+func Plan(d *Declared, have *Configuration) []Step {
+	steps := planPolicies(d, have)
+	steps = append(steps, planCallers(d, have)...)
+	return append(steps, planJobs(d, have)...)
+}
+
+func planPolicies(d *Declared, have *Configuration) []Step {
+	var steps []Step
+	for i := range d.Policies {
+		p := d.Policies[i]
+		if slices.Contains(have.Policies, p) {
+			continue
+		}
+		steps = append(steps, Step{"~", fmt.Sprintf("policy %s = %s", p.Name, p.Value), registrar.Op{PutPolicy: &p}})
+	}
+	return steps
+}
+
+func planCallers(d *Declared, have *Configuration) []Step {
+	var steps []Step
+	for i := range d.Callers {
+		c := d.Callers[i]
+		at := slices.IndexFunc(have.Callers, func(o registrar.Caller) bool { return o.Name == c.Name })
+		if at < 0 {
+			steps = append(steps, Step{"+", "caller " + string(c.Name), registrar.Op{PutCaller: &c}})
+			continue
+		}
+		if old := declaredPart(have.Callers[at]); !reflect.DeepEqual(old, c) {
+			steps = append(steps, Step{"~", fmt.Sprintf("caller %s (%s)", c.Name, differences(old, c)), registrar.Op{PutCaller: &c}})
+		}
+	}
+	return steps
+}
+
+func declaredPart(c registrar.Caller) registrar.Caller {
+	c.State, c.Since, c.Proof = 0, 0, nil
+	return c
+}
+
+// differences names the fields in which two records differ.
+func differences(a, b any) string {
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	var out []string
+	for i := range va.NumField() {
+		x, y := va.Field(i).Interface(), vb.Field(i).Interface()
+		if !reflect.DeepEqual(x, y) {
+			out = append(out, fmt.Sprintf("%s: %v to %v", va.Type().Field(i).Name, x, y))
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
+func planJobs(d *Declared, have *Configuration) []Step {
+	var steps []Step
+	for i := range d.Jobs {
+		j := d.Jobs[i]
+		at := slices.IndexFunc(have.Jobs, func(o registrar.Job) bool { return o.KeyOf() == j.KeyOf() })
+		title := fmt.Sprintf("%s %s/%s", strings.ToLower(j.Kind.String()), j.Caller, j.Name)
+		if at < 0 {
+			steps = append(steps, Step{"+", title, registrar.Op{PutJob: &j}})
+			continue
+		}
+		old := have.Jobs[at]
+		if j.Kind == registrar.Services && (old.Digest != j.Digest || old.Count != j.Count) {
+			steps = append(steps, Step{"~", fmt.Sprintf("%s (Count: %d to %d)", title, old.Count, j.Count), registrar.Op{PutJob: &j}})
+		}
+	}
+	for _, old := range have.Jobs {
+		key := old.KeyOf()
+		declared := slices.ContainsFunc(d.Jobs, func(o registrar.Job) bool { return o.KeyOf() == key })
+		if !declared && old.Kind == registrar.Services && !old.Canceled && declaresCaller(d, old.Caller) {
+			steps = append(steps, Step{"-", fmt.Sprintf("service %s/%s", old.Caller, old.Name), registrar.Op{CancelJob: &key}})
+		}
+	}
+	return steps
+}
+
+func declaresCaller(d *Declared, name registrar.CallerName) bool {
+	return slices.ContainsFunc(d.Callers, func(c registrar.Caller) bool { return c.Name == name })
+}
--- /dev/null
+++ b/internal/state/replicator/core.go
@@ -0,0 +1,283 @@
+package replicator
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds the state of a Core and its entry points. Each entry point
+// takes the present time and leaves its results to be fetched by Ready.
+// Example of a round: Step(message, now), Ready(), save and send what it
+// gave, Saved().
+
+// Limits of one message.
+const (
+	maxAppendBytes  = 256 << 10
+	maxInflight     = 32
+	snapshotChunk   = 64 << 10
+	resendAfterBeat = 3 // heartbeats without an answer before a resend
+)
+
+// Core is the algorithm of one replica.
+type Core struct {
+	Group   GroupID
+	ID      ReplicaID
+	Durable bool // the replica has a disk and may become a voter
+	Timing  Timing
+	Rand    *rand.Rand
+	// Disabled names mechanisms that are switched off, so that tests can show
+	// that their checks notice.
+	Disabled Mechanism
+
+	term   registrar.Term
+	vote   ReplicaID
+	role   Role
+	leader ReplicaID
+
+	log     logTail
+	commit  registrar.Index
+	given   registrar.Index // delivered by Ready
+	stable  registrar.Index // saved
+	members []ReplicaID
+	memberI registrar.Index // of the newest membership entry
+
+	electionAt  time.Time
+	heardLeader time.Time
+	votes       map[ReplicaID]bool
+	forced      bool
+
+	// Of a leader.
+	progress    map[ReplicaID]*progress
+	seq         uint64 // of the newest round
+	rounds      []round
+	ackedAt     time.Time // send time of the newest round that a quorum answered
+	beatAt      time.Time
+	reads       []pendingRead
+	transferee  ReplicaID
+	transferEnd time.Time
+
+	// Of a follower.
+	incoming *Chunk
+	joinAt   time.Time
+
+	hardSaved HardState
+	unsaved   []Entry
+	snapIn    *Snapshot
+	early     []Message
+	late      []Message
+	readsDone []ReadID
+}
+
+// Mechanism is a set of protections of the algorithm.
+type Mechanism uint8
+
+// Mechanisms that a test can switch off.
+const (
+	WithoutSync Mechanism = 1 << iota // acknowledges before saving
+	WithoutCheckQuorum
+	WithoutLogCheck // votes for candidates with older logs
+)
+
+type round struct {
+	seq  uint64
+	sent time.Time
+}
+
+// progress is what a leader holds of another replica.
+type progress struct {
+	match    registrar.Index
+	next     registrar.Index
+	inflight int
+	seq      uint64 // newest answered round
+	heard    time.Time
+	sent     time.Time
+	learner  bool
+	durable  bool
+	chunk    int  // offset of the snapshot in transfer
+	sending  bool // a snapshot is in transfer
+	probing  bool // the position is not known: one message at a time
+}
+
+// ReadID identifies a linearizable read.
+type ReadID uint64
+
+type pendingRead struct {
+	id    ReadID
+	seq   uint64
+	index registrar.Index
+}
+
+// Ready holds the results of the last steps.
+type Ready struct {
+	Early     []Message // may be sent before saving
+	Hard      HardState
+	HardDirty bool
+	Entries   []Entry   // to save
+	Snapshot  *Snapshot // to save and restore
+	Late      []Message // to be sent after saving
+	Committed []Entry   // to apply; these are saved by a majority
+	Reads     []ReadID  // may be answered after Committed is applied
+}
+
+// NotLeaderError tells that a proposal was made to a replica that doesn't lead.
+type NotLeaderError struct {
+	Leader ReplicaID
+}
+
+// Error describes the refusal.
+func (e *NotLeaderError) Error() string {
+	return fmt.Sprintf("not the leader (leader is %q)", string(e.Leader))
+}
+
+// Start makes a core from what its storage held.
+func (c *Core) Start(saved Saved, now time.Time) {
+	c.term, c.vote = saved.Hard.Term, saved.Hard.Vote
+	c.hardSaved = saved.Hard
+	c.log = logTail{snap: saved.Snapshot, entries: saved.Entries}
+	c.commit, c.given = saved.Snapshot.Index, saved.Snapshot.Index
+	c.stable = c.log.last()
+	c.heardLeader = now
+	c.refreshMembers()
+	c.resetElection(now)
+}
+
+func (c *Core) refreshMembers() {
+	c.members, c.memberI = c.log.voters()
+}
+
+// Voter reports whether the replica itself has a vote.
+func (c *Core) Voter() bool { return slices.Contains(c.members, c.ID) }
+
+// Status describes the replica.
+func (c *Core) Status() Status {
+	st := Status{ID: c.ID, Role: c.role, Term: c.term, Leader: c.leader, Voters: c.members, Commit: c.commit}
+	if c.role == Leader && c.transferee == "" && !c.ackedAt.IsZero() {
+		st.LeaseUntil = c.ackedAt.Add(c.Timing.ElectionMin * 9 / 10)
+	}
+	return st
+}
+
+// Ready returns and clears the results of the last steps. The caller saves,
+// sends and then calls Saved.
+func (c *Core) Ready() Ready {
+	r := Ready{Early: c.early, Entries: c.unsaved, Snapshot: c.snapIn, Late: c.late, Reads: c.readsDone}
+	r.Hard = HardState{c.term, c.vote}
+	r.HardDirty = r.Hard != c.hardSaved
+	c.early, c.unsaved, c.snapIn, c.late, c.readsDone = nil, nil, nil, nil, nil
+	c.hardSaved = r.Hard
+	return r
+}
+
+// Saved tells that what the last Ready gave is on disk, and returns the
+// entries that are now committed.
+func (c *Core) Saved() []Entry {
+	c.stable = c.log.last()
+	if c.role == Leader {
+		c.advanceCommit()
+	}
+	return c.takeCommitted()
+}
+
+func (c *Core) takeCommitted() []Entry {
+	hi := min(c.commit, c.stable)
+	if c.given < c.log.snap.Index {
+		c.given = c.log.snap.Index
+	}
+	out := c.log.slice(c.given+1, hi)
+	if len(out) > 0 {
+		c.given = hi
+	}
+	return out
+}
+
+// HasWork reports whether Ready would return anything.
+func (c *Core) HasWork() bool {
+	return len(c.early)+len(c.late)+len(c.unsaved)+len(c.readsDone) > 0 ||
+		c.snapIn != nil || c.hardSaved != HardState{c.term, c.vote} || c.given < min(c.commit, c.stable)
+}
+
+// Propose appends data to the log of a leader.
+func (c *Core) Propose(data []byte, now time.Time) (registrar.Index, error) {
+	if c.role != Leader || c.transferee != "" {
+		return 0, &NotLeaderError{c.leader}
+	}
+	i := c.append(EntryNormal, data)
+	c.broadcast(now)
+	return i, nil
+}
+
+func (c *Core) append(t EntryType, data []byte) registrar.Index {
+	e := Entry{Index: c.log.last() + 1, Term: c.term, Type: t, Data: data}
+	c.log.entries = append(c.log.entries, e)
+	c.unsaved = append(c.unsaved, e)
+	if t == EntryMembers {
+		c.refreshMembers()
+	}
+	return e.Index
+}
+
+// Read asks that id be returned by Ready once a read of the present state is
+// linearizable.
+func (c *Core) Read(id ReadID, now time.Time) error {
+	if c.role != Leader || !c.committedInTerm() {
+		return &NotLeaderError{c.leader}
+	}
+	c.newRound(now)
+	c.reads = append(c.reads, pendingRead{id, c.seq, c.commit})
+	c.broadcastAll(now)
+	c.releaseReads()
+	return nil
+}
+
+func (c *Core) committedInTerm() bool {
+	t, ok := c.log.term(c.commit)
+	return ok && t == c.term
+}
+
+// Compact drops the log up to the index of a snapshot of the applied state and
+// returns what the storage has to save.
+func (c *Core) Compact(index registrar.Index, data []byte) (Snapshot, []Entry, bool) {
+	if index <= c.log.snap.Index || index > c.given {
+		return Snapshot{}, nil, false
+	}
+	term, _ := c.log.term(index)
+	snap := Snapshot{Index: index, Term: term, Voters: c.votersAt(index), Data: data}
+	c.log.compact(snap)
+	rest := c.log.slice(index+1, min(c.stable, c.log.last()))
+	return snap, rest, true
+}
+
+func (c *Core) votersAt(index registrar.Index) []ReplicaID {
+	voters := c.log.snap.Voters
+	for _, e := range c.log.slice(c.log.snap.Index+1, index) {
+		if e.Type == EntryMembers {
+			voters = decodeVoters(e.Data)
+		}
+	}
+	return voters
+}
+
+// TailSize returns the number of entries held after the last snapshot and the
+// bytes of their data.
+func (c *Core) TailSize() (entries, size int) {
+	for i := range c.log.entries {
+		size += len(c.log.entries[i].Data)
+	}
+	return len(c.log.entries), size
+}
+
+func (c *Core) send(m Message) {
+	m.Group, m.From = c.Group, c.ID
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	if c.Disabled&WithoutSync != 0 || m.Type == MsgAppend || m.Type == MsgSnapshot || m.Type == MsgJoin {
+		c.early = append(c.early, m)
+		return
+	}
+	c.late = append(c.late, m)
+}
