--- /dev/null
+++ b/internal/state/replicator/election.go
@@ -0,0 +1,234 @@
+package replicator
+
+import (
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds elections. A follower that hears no leader asks for
+// pre-votes without raising its term, so that a replica that was cut off does
+// not disturb the group when it returns. Example: of three voters the leader
+// is killed; both others wait 400 to 700 ms, the first to ask gets a pre-vote
+// and a vote, and leads.
+
+// Tick lets time pass: elections, heartbeats, resends.
+func (c *Core) Tick(now time.Time) {
+	if c.role == Leader {
+		c.tickLeader(now)
+		return
+	}
+	if !c.Voter() {
+		c.tickLearner(now)
+		return
+	}
+	if !now.Before(c.electionAt) {
+		c.startPreVote(now)
+	}
+}
+
+func (c *Core) tickLearner(now time.Time) {
+	if c.role != Follower {
+		c.becomeFollower(c.term, c.leader, now)
+	}
+	quiet := now.Sub(c.heardLeader) >= c.Timing.ElectionMin
+	if !quiet || now.Before(c.joinAt) {
+		return
+	}
+	c.joinAt = now.Add(c.Timing.ElectionMin)
+	c.leader = ""
+	c.send(Message{Type: MsgJoin, Index: c.log.last(), Durable: c.Durable})
+}
+
+func (c *Core) resetElection(now time.Time) {
+	spread := int64(c.Timing.ElectionMax - c.Timing.ElectionMin)
+	wait := c.Timing.ElectionMin
+	if spread > 0 {
+		wait += time.Duration(c.Rand.Int63n(spread))
+	}
+	c.electionAt = now.Add(wait)
+}
+
+func (c *Core) startPreVote(now time.Time) {
+	c.role = PreCandidate
+	c.leader = ""
+	c.votes = map[ReplicaID]bool{c.ID: true}
+	c.resetElection(now)
+	if c.won() {
+		c.startElection(now, false)
+		return
+	}
+	c.askVotes(MsgPreVote, c.term+1)
+}
+
+func (c *Core) startElection(now time.Time, force bool) {
+	c.role = Candidate
+	c.term++
+	c.vote = c.ID
+	c.leader = ""
+	c.forced = force
+	c.votes = map[ReplicaID]bool{c.ID: true}
+	c.resetElection(now)
+	if c.won() {
+		c.becomeLeader(now)
+		return
+	}
+	c.askVotes(MsgVote, c.term)
+}
+
+func (c *Core) askVotes(t MessageType, term registrar.Term) {
+	for _, id := range c.members {
+		if id == c.ID {
+			continue
+		}
+		c.send(Message{Type: t, To: id, Term: term, Index: c.log.last(), LogTerm: c.log.lastTerm(), Force: c.forced})
+	}
+}
+
+func (c *Core) won() bool {
+	n := 0
+	for _, id := range c.members {
+		if c.votes[id] {
+			n++
+		}
+	}
+	return n >= quorumOf(c.members)
+}
+
+// handleVote answers a request for a vote or a pre-vote. A replica that heard
+// a leader within the shortest election timeout refuses, unless the election
+// comes from a transfer of leadership.
+func (c *Core) handleVote(m Message, now time.Time) {
+	pre := m.Type == MsgPreVote
+	reply := Message{Type: MsgVoteReply, To: m.From, Term: c.term, Reject: true}
+	if pre {
+		reply.Type = MsgPreVoteReply
+	}
+	fresh := c.log.upToDate(m.Index, m.LogTerm) || c.Disabled&WithoutLogCheck != 0
+	free := m.Term > c.term || c.vote == "" || c.vote == m.From
+	if pre {
+		free = m.Term > c.term
+	}
+	if c.hasLeader(now) && !m.Force || !fresh || !free || m.Term < c.term {
+		c.send(reply)
+		return
+	}
+	reply.Reject = false
+	reply.Term = m.Term
+	if !pre {
+		if m.Term > c.term {
+			c.becomeFollower(m.Term, "", now)
+		}
+		c.vote = m.From
+		c.resetElection(now)
+	}
+	c.send(reply)
+}
+
+// hasLeader reports whether a leader may hold a lease that this replica
+// granted. A replica that has just started can't know whom it answered before,
+// so it waits as if it had heard a leader at its start.
+func (c *Core) hasLeader(now time.Time) bool {
+	if c.role == Leader {
+		return true
+	}
+	return now.Sub(c.heardLeader) < c.Timing.ElectionMin
+}
+
+func (c *Core) handleVoteReply(m Message, now time.Time) {
+	if m.Reject {
+		if m.Term > c.term {
+			c.becomeFollower(m.Term, "", now)
+		}
+		return
+	}
+	switch {
+	case m.Type == MsgPreVoteReply && c.role == PreCandidate && m.Term == c.term+1:
+		c.votes[m.From] = true
+		if c.won() {
+			c.startElection(now, false)
+		}
+	case m.Type == MsgVoteReply && c.role == Candidate && m.Term == c.term:
+		c.votes[m.From] = true
+		if c.won() {
+			c.becomeLeader(now)
+		}
+	}
+}
+
+func (c *Core) becomeFollower(term registrar.Term, leader ReplicaID, now time.Time) {
+	if term > c.term {
+		c.term = term
+		c.vote = ""
+	}
+	if c.role == Leader {
+		c.dropLeadership()
+	}
+	c.role = Follower
+	c.leader = leader
+	c.forced = false
+	c.resetElection(now)
+}
+
+func (c *Core) dropLeadership() {
+	c.progress = nil
+	c.reads = nil
+	c.rounds = nil
+	c.ackedAt = time.Time{}
+	c.transferee = ""
+}
+
+func (c *Core) becomeLeader(now time.Time) {
+	c.role = Leader
+	c.leader = c.ID
+	c.forced = false
+	c.progress = make(map[ReplicaID]*progress)
+	c.rounds, c.reads = nil, nil
+	c.ackedAt = time.Time{}
+	for _, id := range c.members {
+		c.addProgress(id, now)
+	}
+	c.append(EntryNoop, nil)
+	c.newRound(now)
+	c.broadcastAll(now)
+}
+
+func (c *Core) addProgress(id ReplicaID, now time.Time) *progress {
+	p := &progress{next: c.log.last() + 1, heard: now, probing: true}
+	if id != c.ID {
+		c.progress[id] = p
+	}
+	return p
+}
+
+// Transfer hands leadership to another voter, chosen as the one with the
+// longest log, and reports whether one was found.
+func (c *Core) Transfer(now time.Time) bool {
+	if c.role != Leader {
+		return false
+	}
+	best := ReplicaID("")
+	for _, id := range c.members {
+		p := c.progress[id]
+		if p == nil || now.Sub(p.heard) > c.Timing.ElectionMin {
+			continue
+		}
+		if best == "" || p.match > c.progress[best].match {
+			best = id
+		}
+	}
+	if best == "" {
+		return false
+	}
+	c.transferee = best
+	c.transferEnd = now.Add(c.Timing.ElectionMax)
+	c.tryTransfer()
+	return true
+}
+
+func (c *Core) tryTransfer() {
+	p := c.progress[c.transferee]
+	if p != nil && p.match == c.log.last() {
+		c.send(Message{Type: MsgTimeoutNow, To: c.transferee})
+	}
+}
--- /dev/null
+++ b/internal/state/replicator/follower.go
@@ -0,0 +1,181 @@
+package replicator
+
+import (
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds the handling of messages, above all what a follower does
+// with a leader's. Example: an append after index 9 of term 2 is refused by a
+// log that ends at 7, with the hint 7, and the leader goes on from 8.
+
+// Step takes in one message.
+func (c *Core) Step(m Message, now time.Time) {
+	if m.Group != c.Group || m.To != c.ID && m.To != "" {
+		return
+	}
+	switch m.Type {
+	case MsgPreVote, MsgVote:
+		c.handleVote(m, now)
+		return
+	case MsgPreVoteReply, MsgVoteReply:
+		c.handleVoteReply(m, now)
+		return
+	case MsgJoin:
+		c.handleJoin(m, now)
+		return
+	}
+	if m.Term < c.term {
+		c.refuseStale(m)
+		return
+	}
+	if m.Term > c.term {
+		c.becomeFollower(m.Term, "", now)
+	}
+	c.stepInTerm(m, now)
+}
+
+// refuseStale tells a deposed leader about the present term.
+func (c *Core) refuseStale(m Message) {
+	if m.Type == MsgAppend || m.Type == MsgSnapshot {
+		c.send(Message{Type: MsgAppendReply, To: m.From, Reject: true, Hint: c.log.last()})
+	}
+}
+
+func (c *Core) stepInTerm(m Message, now time.Time) {
+	switch m.Type {
+	case MsgAppend:
+		c.followLeader(m, now)
+		c.handleAppend(m)
+	case MsgSnapshot:
+		c.followLeader(m, now)
+		c.handleSnapshot(m)
+	case MsgAppendReply:
+		c.handleAppendReply(m, now)
+	case MsgSnapshotReply:
+		c.handleSnapshotReply(m, now)
+	case MsgTimeoutNow:
+		if c.Voter() && c.role != Leader {
+			c.startElection(now, true)
+		}
+	}
+}
+
+func (c *Core) followLeader(m Message, now time.Time) {
+	if c.role != Follower || c.leader != m.From {
+		c.becomeFollower(m.Term, m.From, now)
+	}
+	c.heardLeader = now
+	c.resetElection(now)
+}
+
+func (c *Core) handleAppend(m Message) {
+	reply := Message{Type: MsgAppendReply, To: m.From, Seq: m.Seq}
+	if m.Index < c.log.snap.Index {
+		reply.Index = c.log.snap.Index
+		m = c.skipCompacted(m)
+	}
+	t, ok := c.log.term(m.Index)
+	if !ok || t != m.LogTerm {
+		reply.Reject = true
+		reply.Hint = c.rejectHint(m)
+		c.send(reply)
+		return
+	}
+	c.takeEntries(m.Entries)
+	last := m.Index + registrar.Index(len(m.Entries))
+	c.commit = max(c.commit, min(m.Commit, last))
+	reply.Index = max(reply.Index, last)
+	c.send(reply)
+}
+
+// skipCompacted drops the part of an append that the snapshot covers.
+func (c *Core) skipCompacted(m Message) Message {
+	n := int(c.log.snap.Index - m.Index)
+	if n >= len(m.Entries) {
+		m.Entries = nil
+	} else {
+		m.Entries = m.Entries[n:]
+	}
+	m.Index, m.LogTerm = c.log.snap.Index, c.log.snap.Term
+	return m
+}
+
+// rejectHint returns an index at which the logs may agree.
+func (c *Core) rejectHint(m Message) registrar.Index {
+	i := min(c.log.last(), m.Index-1)
+	for i > c.commit {
+		if t, _ := c.log.term(i); t <= m.LogTerm {
+			break
+		}
+		i--
+	}
+	return i
+}
+
+func (c *Core) takeEntries(entries []Entry) {
+	for i, e := range entries {
+		t, ok := c.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			c.cutFrom(e.Index)
+		}
+		c.log.entries = append(c.log.entries, entries[i:]...)
+		c.unsaved = append(c.unsaved, entries[i:]...)
+		c.refreshMembers()
+		return
+	}
+}
+
+// cutFrom drops a suffix of the log that conflicts with the leader's.
+func (c *Core) cutFrom(i registrar.Index) {
+	c.log.truncate(i)
+	c.stable = min(c.stable, i-1)
+	for n, e := range c.unsaved {
+		if e.Index >= i {
+			c.unsaved = c.unsaved[:n]
+			break
+		}
+	}
+}
+
+// handleSnapshot collects the chunks of a snapshot. A transfer that was cut
+// goes on from the bytes already held.
+func (c *Core) handleSnapshot(m Message) {
+	ch := m.Chunk
+	if ch == nil {
+		return
+	}
+	if ch.Index <= c.commit {
+		c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.commit, Seq: m.Seq})
+		return
+	}
+	in := c.incoming
+	if in == nil || in.Index != ch.Index || in.Term != ch.Term || in.Total != ch.Total {
+		in = &Chunk{Index: ch.Index, Term: ch.Term, Voters: ch.Voters, Total: ch.Total}
+		c.incoming = in
+	}
+	if ch.Offset == len(in.Data) {
+		in.Data = append(in.Data, ch.Data...)
+	}
+	if len(in.Data) < in.Total {
+		c.send(Message{Type: MsgSnapshotReply, To: m.From, Seq: m.Seq, Chunk: &Chunk{Index: in.Index, Term: in.Term, Offset: len(in.Data)}})
+		return
+	}
+	c.install(Snapshot{Index: in.Index, Term: in.Term, Voters: in.Voters, Data: in.Data})
+	c.incoming = nil
+	c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.log.last(), Seq: m.Seq})
+}
+
+func (c *Core) install(snap Snapshot) {
+	c.log = logTail{snap: snap}
+	c.commit = snap.Index
+	c.given = snap.Index
+	c.stable = snap.Index
+	c.unsaved = nil
+	c.snapIn = &snap
+	c.refreshMembers()
+}
--- /dev/null
+++ b/internal/state/replicator/leader.go
@@ -0,0 +1,242 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds what a leader does: sending entries and heartbeats, counting
+// answers, committing, confirming reads, stepping down without a quorum.
+// Example: with three voters and the positions 10, 9 and 7, index 9 is
+// committed if its entry is of the leader's term.
+
+func (c *Core) tickLeader(now time.Time) {
+	if c.transferee != "" && !now.Before(c.transferEnd) {
+		c.transferee = ""
+	}
+	if c.lostQuorum(now) && c.Disabled&WithoutCheckQuorum == 0 {
+		c.becomeFollower(c.term, "", now)
+		return
+	}
+	c.dropLearners(now)
+	c.replaceVoters(now)
+	if now.Sub(c.beatAt) >= c.Timing.Heartbeat {
+		c.newRound(now)
+		c.broadcastAll(now)
+		c.tryTransfer()
+	}
+}
+
+// lostQuorum reports whether fewer than a majority answered within the longest
+// election timeout.
+func (c *Core) lostQuorum(now time.Time) bool {
+	n := 0
+	for _, id := range c.members {
+		p := c.progress[id]
+		if id == c.ID || p != nil && now.Sub(p.heard) < c.Timing.ElectionMax {
+			n++
+		}
+	}
+	return n < quorumOf(c.members)
+}
+
+func (c *Core) newRound(now time.Time) {
+	c.seq++
+	c.beatAt = now
+	c.rounds = append(c.rounds, round{c.seq, now})
+}
+
+// broadcast sends new entries to every replica that is ready for them.
+func (c *Core) broadcast(now time.Time) {
+	for id, p := range c.progress {
+		if p.next <= c.log.last() {
+			c.sendAppend(id, p, now, false)
+		}
+	}
+}
+
+// broadcastAll sends to every voter, and to each learner that is due.
+func (c *Core) broadcastAll(now time.Time) {
+	for id, p := range c.progress {
+		if p.learner && p.next > c.log.last() && now.Sub(p.sent) < c.Timing.LearnerDelay {
+			continue
+		}
+		c.sendAppend(id, p, now, true)
+	}
+	c.countRounds()
+}
+
+func (c *Core) sendAppend(id ReplicaID, p *progress, now time.Time, beat bool) {
+	stalled := now.Sub(p.heard) >= resendAfterBeat*c.Timing.Heartbeat
+	if beat && stalled && p.inflight > 0 {
+		p.next, p.inflight, p.probing = p.match+1, 0, true
+	}
+	if p.next <= c.log.snap.Index {
+		c.sendSnapshot(id, p, now, beat)
+		return
+	}
+	entries := c.log.upTo(p.next, maxAppendBytes)
+	busy := p.inflight >= maxInflight || p.probing && p.inflight > 0
+	if busy {
+		entries = nil
+	}
+	if len(entries) == 0 && !beat {
+		return
+	}
+	prev := p.next - 1
+	term, _ := c.log.term(prev)
+	c.send(Message{Type: MsgAppend, To: id, Index: prev, LogTerm: term, Entries: entries, Commit: c.commit, Seq: c.seq})
+	p.sent = now
+	if len(entries) > 0 {
+		p.inflight++
+		p.next = entries[len(entries)-1].Index + 1
+	}
+}
+
+// sendSnapshot sends the next chunk of the snapshot. One chunk is in flight at
+// a time; a heartbeat sends it again when no answer came.
+func (c *Core) sendSnapshot(id ReplicaID, p *progress, now time.Time, beat bool) {
+	snap := &c.log.snap
+	if !p.sending {
+		p.sending, p.chunk = true, 0
+	} else if !beat || now.Sub(p.sent) < resendAfterBeat*c.Timing.Heartbeat {
+		return
+	}
+	c.sendChunk(id, p, snap, now)
+}
+
+func (c *Core) sendChunk(id ReplicaID, p *progress, snap *Snapshot, now time.Time) {
+	if p.chunk > len(snap.Data) {
+		p.chunk = 0
+	}
+	end := min(p.chunk+snapshotChunk, len(snap.Data))
+	chunk := &Chunk{Index: snap.Index, Term: snap.Term, Voters: snap.Voters, Offset: p.chunk, Total: len(snap.Data), Data: snap.Data[p.chunk:end]}
+	c.send(Message{Type: MsgSnapshot, To: id, Chunk: chunk, Commit: c.commit, Seq: c.seq})
+	p.sent = now
+}
+
+func (c *Core) handleSnapshotReply(m Message, now time.Time) {
+	p := c.heardFrom(m, now)
+	if p == nil || m.Chunk == nil || !p.sending {
+		return
+	}
+	if m.Chunk.Index != c.log.snap.Index {
+		p.chunk = 0 // a newer snapshot replaced the one in transfer
+	} else {
+		p.chunk = m.Chunk.Offset
+	}
+	c.sendChunk(m.From, p, &c.log.snap, now)
+}
+
+// heardFrom notes an answer of a replica and returns its progress.
+func (c *Core) heardFrom(m Message, now time.Time) *progress {
+	if c.role != Leader || m.Term != c.term {
+		return nil
+	}
+	p := c.progress[m.From]
+	if p == nil {
+		return nil
+	}
+	p.heard = now
+	if m.Seq > p.seq {
+		p.seq = m.Seq
+		c.countRounds()
+	}
+	return p
+}
+
+func (c *Core) handleAppendReply(m Message, now time.Time) {
+	p := c.heardFrom(m, now)
+	if p == nil {
+		return
+	}
+	p.inflight = max(p.inflight-1, 0)
+	if m.Reject {
+		p.next = max(min(m.Hint+1, p.next-1), p.match+1)
+		p.inflight, p.probing = 0, true
+		c.sendAppend(m.From, p, now, true)
+		return
+	}
+	if m.Index > p.match {
+		p.match = m.Index
+	}
+	p.sending = false
+	p.probing = false
+	p.next = max(p.next, p.match+1)
+	c.advanceCommit()
+	if p.next <= c.log.last() {
+		c.sendAppend(m.From, p, now, false)
+	}
+	c.tryTransfer()
+	c.promote(m.From, p, now)
+}
+
+// advanceCommit commits the highest index that a majority saved, if its entry
+// is of the present term.
+func (c *Core) advanceCommit() {
+	match := make([]registrar.Index, 0, len(c.members))
+	for _, id := range c.members {
+		switch p := c.progress[id]; {
+		case id == c.ID:
+			match = append(match, c.stable)
+		case p != nil:
+			match = append(match, p.match)
+		default:
+			match = append(match, 0)
+		}
+	}
+	if len(match) == 0 {
+		return
+	}
+	slices.Sort(match)
+	i := match[len(match)-quorumOf(c.members)]
+	if t, _ := c.log.term(i); i > c.commit && t == c.term {
+		c.commit = i
+		c.stepDownIfRemoved()
+	}
+}
+
+func (c *Core) stepDownIfRemoved() {
+	if c.Voter() || c.commit < c.memberI {
+		return
+	}
+	c.dropLeadership()
+	c.role = Follower
+	c.leader = ""
+}
+
+// countRounds finds the newest round that a quorum answered. Its send time
+// bounds the leader's own lease and releases reads.
+func (c *Core) countRounds() {
+	seqs := make([]uint64, 0, len(c.members))
+	for _, id := range c.members {
+		switch p := c.progress[id]; {
+		case id == c.ID:
+			seqs = append(seqs, c.seq)
+		case p != nil:
+			seqs = append(seqs, p.seq)
+		default:
+			seqs = append(seqs, 0)
+		}
+	}
+	slices.Sort(seqs)
+	acked := seqs[len(seqs)-quorumOf(c.members)]
+	for len(c.rounds) > 0 && c.rounds[0].seq <= acked {
+		c.ackedAt = c.rounds[0].sent
+		c.rounds = c.rounds[1:]
+	}
+	c.releaseReadsTo(acked)
+}
+
+func (c *Core) releaseReads() { c.countRounds() }
+
+func (c *Core) releaseReadsTo(acked uint64) {
+	n := 0
+	for n < len(c.reads) && c.reads[n].seq <= acked {
+		c.readsDone = append(c.readsDone, c.reads[n].id)
+		n++
+	}
+	c.reads = c.reads[n:]
+}
--- /dev/null
+++ b/internal/state/replicator/learner.go
@@ -0,0 +1,126 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+)
+
+// This file holds learners and the replacement of voters. A learner follows
+// the log without a vote. A durable learner that has caught up becomes a voter
+// in place of a voter of the same daemon whose data folder was lost. Example:
+// vm3.1 is a silent voter, vm3.2 a learner at the leader's position: the
+// leader adds vm3.2, and once that is committed removes vm3.1.
+
+// handleJoin lets a leader follow up a learner, and others pass it over.
+func (c *Core) handleJoin(m Message, now time.Time) {
+	if c.role != Leader {
+		return
+	}
+	p := c.progress[m.From]
+	if p == nil {
+		p = c.addProgress(m.From, now)
+		p.learner = !slices.Contains(c.members, m.From)
+		p.next = min(m.Index, c.log.last()) + 1
+	}
+	p.durable = m.Durable
+	p.heard = now
+	p.sending = false
+	c.sendAppend(m.From, p, now, true)
+}
+
+func (c *Core) dropLearners(now time.Time) {
+	for id, p := range c.progress {
+		if p.learner && now.Sub(p.heard) > c.Timing.LearnerGone {
+			delete(c.progress, id)
+		}
+	}
+}
+
+// promote adds a caught-up learner as a voter when it succeeds a voter of the
+// same daemon.
+func (c *Core) promote(id ReplicaID, p *progress, now time.Time) {
+	if !p.learner || !p.durable || p.match < c.commit || !c.canChangeMembers() {
+		return
+	}
+	old := c.predecessor(id)
+	if old == "" || old == c.ID {
+		return
+	}
+	if q := c.progress[old]; q != nil && now.Sub(q.heard) < c.Timing.ReplaceAfter {
+		return
+	}
+	c.changeMembers(with(c.members, id), now)
+}
+
+// predecessor returns the voter of the same daemon as id, if id is not a voter.
+func (c *Core) predecessor(id ReplicaID) ReplicaID {
+	for _, v := range c.members {
+		if v != id && NameOf(v) == NameOf(id) {
+			return v
+		}
+	}
+	return ""
+}
+
+// replaceVoters removes the older of two voters of one daemon.
+func (c *Core) replaceVoters(now time.Time) {
+	if !c.canChangeMembers() {
+		return
+	}
+	for _, id := range c.members {
+		old := c.predecessor(id)
+		p, q := c.progress[id], c.progress[old]
+		if old == "" || old == c.ID || p == nil || q == nil {
+			continue
+		}
+		if p.heard.After(q.heard) && now.Sub(q.heard) >= c.Timing.ReplaceAfter {
+			c.changeMembers(without(c.members, old), now)
+			return
+		}
+	}
+}
+
+// canChangeMembers reports whether the last change is committed and the leader
+// has committed an entry of its own term.
+func (c *Core) canChangeMembers() bool {
+	return c.commit >= c.memberI && c.committedInTerm() && c.transferee == ""
+}
+
+func (c *Core) changeMembers(voters []ReplicaID, now time.Time) {
+	c.append(EntryMembers, encodeVoters(voters))
+	c.syncProgress(now)
+	c.broadcastAll(now)
+}
+
+func (c *Core) syncProgress(now time.Time) {
+	for _, id := range c.members {
+		if p := c.progress[id]; p != nil {
+			p.learner = false
+			continue
+		}
+		c.addProgress(id, now)
+	}
+	for id, p := range c.progress {
+		if !slices.Contains(c.members, id) {
+			p.learner = true
+		}
+	}
+}
+
+// AddVoter makes a learner that the leader follows a voter.
+func (c *Core) AddVoter(id ReplicaID, now time.Time) error {
+	if c.role != Leader || !c.canChangeMembers() || slices.Contains(c.members, id) {
+		return &NotLeaderError{c.leader}
+	}
+	c.changeMembers(with(c.members, id), now)
+	return nil
+}
+
+// RemoveVoter takes the vote of a replica.
+func (c *Core) RemoveVoter(id ReplicaID, now time.Time) error {
+	if c.role != Leader || !c.canChangeMembers() || !slices.Contains(c.members, id) {
+		return &NotLeaderError{c.leader}
+	}
+	c.changeMembers(without(c.members, id), now)
+	return nil
+}
--- /dev/null
+++ b/internal/state/replicator/log.go
@@ -0,0 +1,95 @@
+package replicator
+
+import (
+	"masticroad/internal/control/registrar"
+)
+
+// This file holds the part of the log after the last snapshot in memory.
+// Example: after a snapshot at index 100, the entry of index 101 is
+// entries[0].
+
+type logTail struct {
+	snap    Snapshot
+	entries []Entry
+}
+
+func (l *logTail) last() registrar.Index {
+	return l.snap.Index + registrar.Index(len(l.entries))
+}
+
+func (l *logTail) lastTerm() registrar.Term {
+	t, _ := l.term(l.last())
+	return t
+}
+
+// term returns the term of the entry at index i; ok is false when the log does
+// not hold it.
+func (l *logTail) term(i registrar.Index) (t registrar.Term, ok bool) {
+	if i == l.snap.Index {
+		return l.snap.Term, true
+	}
+	if i < l.snap.Index || i > l.last() {
+		return 0, false
+	}
+	return l.entries[i-l.snap.Index-1].Term, true
+}
+
+// slice returns the entries from index lo to hi, both included.
+func (l *logTail) slice(lo, hi registrar.Index) []Entry {
+	if lo > hi {
+		return nil
+	}
+	return l.entries[lo-l.snap.Index-1 : hi-l.snap.Index]
+}
+
+// upTo returns entries from index lo on, limited to a number of bytes but at
+// least one entry.
+func (l *logTail) upTo(lo registrar.Index, maxBytes int) []Entry {
+	if lo > l.last() {
+		return nil
+	}
+	all := l.slice(lo, l.last())
+	size := 0
+	for i := range all {
+		size += len(all[i].Data) + entryOverhead
+		if size > maxBytes && i > 0 {
+			return all[:i]
+		}
+	}
+	return all
+}
+
+const entryOverhead = 16
+
+// truncate drops the entries from index i on.
+func (l *logTail) truncate(i registrar.Index) {
+	keep := l.slice(l.snap.Index+1, i-1)
+	l.entries = append([]Entry(nil), keep...)
+}
+
+// compact replaces the log up to the snapshot's index.
+func (l *logTail) compact(snap Snapshot) {
+	var rest []Entry
+	if t, ok := l.term(snap.Index); ok && t == snap.Term {
+		rest = append(rest, l.slice(snap.Index+1, l.last())...)
+	}
+	l.snap = snap
+	l.entries = rest
+}
+
+func (l *logTail) upToDate(index registrar.Index, term registrar.Term) bool {
+	if term != l.lastTerm() {
+		return term > l.lastTerm()
+	}
+	return index >= l.last()
+}
+
+// voters returns the newest membership in the log and the index of its entry.
+func (l *logTail) voters() ([]ReplicaID, registrar.Index) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if l.entries[i].Type == EntryMembers {
+			return decodeVoters(l.entries[i].Data), l.entries[i].Index
+		}
+	}
+	return l.snap.Voters, l.snap.Index
+}
--- /dev/null
+++ b/internal/state/storer/load.go
@@ -0,0 +1,113 @@
+package storer
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/state/replicator"
+)
+
+// This file reads a data folder back. Each segment begins with all that is
+// held after the snapshot, so normally one segment is read; two are found when
+// the process stopped between writing a new one and removing the old.
+
+// load reads the snapshot and the newest segment with a whole first frame.
+func (s *Storer) load(id Identity) (replicator.Saved, error) {
+	saved, err := s.loadSnapshot(id)
+	if err != nil {
+		return saved, err
+	}
+	numbers, err := s.segments()
+	if err != nil {
+		return saved, err
+	}
+	for i := len(numbers) - 1; i >= 0; i-- {
+		s.number = max(s.number, numbers[i])
+		found, err := s.loadSegment(numbers[i], i > 0, &saved)
+		if err != nil || found {
+			return saved, err
+		}
+	}
+	return saved, nil
+}
+
+func (s *Storer) loadSnapshot(id Identity) (replicator.Saved, error) {
+	saved := replicator.Saved{Snapshot: replicator.Snapshot{Voters: id.Voters}}
+	path := filepath.Join(s.Folder, snapshotName)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return saved, nil
+	}
+	if err != nil {
+		return saved, errors.Annotate(err, "storage: read snapshot")
+	}
+	f, ok := readFrame(data)
+	if !ok {
+		return saved, &DamageError{path, 0, "checksum of the snapshot does not match"}
+	}
+	if err := cbor.Unmarshal(f.payload, &saved.Snapshot); err != nil {
+		return saved, &DamageError{path, 0, err.Error()}
+	}
+	return saved, nil
+}
+
+// loadSegment reads the frames of a segment. A segment whose first frame is
+// torn is passed over when an older one exists.
+func (s *Storer) loadSegment(number uint64, hasOlder bool, saved *replicator.Saved) (bool, error) {
+	path := s.segmentPath(number)
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return false, errors.Annotate(err, "storage: read segment")
+	}
+	offset, first := 0, true
+	for offset < len(data) {
+		f, ok := readFrame(data[offset:])
+		if !ok || !first && f.number != s.frame+1 {
+			return !first, s.checkTail(path, data, offset, first, hasOlder)
+		}
+		if err := takeRecord(f.payload, saved); err != nil {
+			return false, &DamageError{path, int64(offset), err.Error()}
+		}
+		s.frame = f.number
+		first = false
+		offset += f.size
+	}
+	return !first, nil
+}
+
+// checkTail tells a torn tail, which is cut, from damage to synced frames. The
+// older segments are removed only after the first frame of a newer one is
+// synced, so a torn first frame without an older segment is damage, except in
+// the first segment of a folder.
+func (s *Storer) checkTail(path string, data []byte, offset int, first, hasOlder bool) error {
+	if first && hasOlder {
+		return nil
+	}
+	if first && s.number > 1 || laterFrame(data[offset:], s.frame) >= 0 {
+		return &DamageError{path, int64(offset), "checksum of a synced frame does not match"}
+	}
+	return nil
+}
+
+func takeRecord(payload []byte, saved *replicator.Saved) error {
+	var r record
+	if err := cbor.Unmarshal(payload, &r); err != nil {
+		return errors.Trace(err)
+	}
+	saved.Hard = r.Hard
+	for _, e := range r.Entries {
+		if e.Index <= saved.Snapshot.Index {
+			continue
+		}
+		keep := e.Index - saved.Snapshot.Index - 1
+		if keep > registrar.Index(len(saved.Entries)) {
+			return errors.Errorf("entry %d leaves a gap after %d", e.Index, saved.Snapshot.Index+registrar.Index(len(saved.Entries)))
+		}
+		saved.Entries = append(saved.Entries[:keep], e)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/state/storer/storer.go
@@ -0,0 +1,307 @@
+// Package storer keeps the log, the hard state and the snapshots of a replica
+// in its data folder. A record counts once it is synced. A torn tail is cut
+// when the folder is opened; damage before the tail is an error.
+//
+// The folder holds: LOCK, IDENTITY (cell, group, replica), SNAPSHOT, and
+// segments of frames named LOG-<number>.
+package storer
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
+
+	"masticroad/internal/state/replicator"
+)
+
+const (
+	lockName     = "LOCK"
+	identityName = "IDENTITY"
+	snapshotName = "SNAPSHOT"
+	segmentName  = "LOG-"
+	folderMode   = 0o750
+	fileMode     = 0o640
+)
+
+// Identity names the owner of a data folder.
+type Identity struct {
+	Cell    string                 `cbor:"1,keyasint"`
+	Group   replicator.GroupID     `cbor:"2,keyasint"`
+	Replica replicator.ReplicaID   `cbor:"3,keyasint"`
+	Voters  []replicator.ReplicaID `cbor:"4,keyasint,omitempty"` // of a new cell
+}
+
+// DamageError tells that synced data can't be read.
+type DamageError struct {
+	File   string
+	Offset int64
+	Reason string
+}
+
+// Error describes the damage.
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("storage: %s at offset %d: %s; restore this replica by wiping the folder and letting it join anew", e.File, e.Offset, e.Reason)
+}
+
+// IdentityError tells that a folder belongs to another cell, group or daemon.
+type IdentityError struct {
+	Folder     string
+	Want, Have Identity
+}
+
+// Error describes the mismatch.
+func (e *IdentityError) Error() string {
+	return fmt.Sprintf("storage: %s belongs to cell %q, group %d, replica %q, not to cell %q, group %d, daemon %q", e.Folder, e.Have.Cell, e.Have.Group, e.Have.Replica, e.Want.Cell, e.Want.Group, replicator.NameOf(e.Want.Replica))
+}
+
+// File is what a storer needs of an open file; tests put faults behind it.
+type File interface {
+	Write(p []byte) (int, error)
+	Sync() error
+	Close() error
+}
+
+// record is the payload of a frame: the hard state and entries of one write.
+type record struct {
+	Hard    replicator.HardState `cbor:"1,keyasint"`
+	Entries []replicator.Entry   `cbor:"2,keyasint,omitempty"`
+}
+
+// Storer is the storage of one replica. Folder is set before Open.
+type Storer struct {
+	Folder string
+	// Create makes the file of a segment; nil takes the folder's file system.
+	Create func(path string) (File, error)
+
+	lock    *os.File
+	segment File
+	number  uint64 // of the segment
+	frame   uint64 // of the newest frame
+	failed  error
+}
+
+// Prepare writes the identity into an empty folder.
+func Prepare(folder string, id Identity) error {
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return errors.Annotate(err, "storage: create folder")
+	}
+	if _, err := os.Stat(filepath.Join(folder, identityName)); err == nil {
+		return errors.Errorf("storage: %s already has an identity", folder)
+	}
+	data, err := cbor.Marshal(id)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return writeWhole(folder, identityName, appendFrame(nil, 0, data))
+}
+
+// ReadIdentity returns the identity of a folder; ok is false when it has none.
+func ReadIdentity(folder string) (id Identity, ok bool, err error) {
+	path := filepath.Join(folder, identityName)
+	data, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return id, false, nil
+	}
+	if err != nil {
+		return id, false, errors.Annotate(err, "storage: read identity")
+	}
+	f, whole := readFrame(data)
+	if !whole {
+		return id, false, &DamageError{path, 0, "checksum of the identity does not match"}
+	}
+	if err := cbor.Unmarshal(f.payload, &id); err != nil {
+		return id, false, &DamageError{path, 0, err.Error()}
+	}
+	return id, true, nil
+}
+
+// Open locks the folder, checks that it belongs to want (cell, group and the
+// daemon's name) and reads what it holds.
+func (s *Storer) Open(want Identity) (Identity, replicator.Saved, error) {
+	var saved replicator.Saved
+	if err := s.acquire(); err != nil {
+		return Identity{}, saved, err
+	}
+	id, ok, err := ReadIdentity(s.Folder)
+	if err != nil {
+		return id, saved, err
+	}
+	if !ok {
+		return id, saved, errors.NotFoundf("storage: identity in %s", s.Folder)
+	}
+	sameName := replicator.NameOf(id.Replica) == replicator.NameOf(want.Replica)
+	if id.Cell != want.Cell || id.Group != want.Group || !sameName {
+		return id, saved, &IdentityError{s.Folder, want, id}
+	}
+	saved, err = s.load(id)
+	if err != nil {
+		return id, saved, err
+	}
+	return id, saved, s.startSegment(saved.Hard, saved.Entries)
+}
+
+func (s *Storer) acquire() error {
+	if err := os.MkdirAll(s.Folder, folderMode); err != nil {
+		return errors.Annotate(err, "storage: create folder")
+	}
+	f, err := os.OpenFile(filepath.Join(s.Folder, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return errors.Annotate(err, "storage: open lock")
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = f.Close()
+		return errors.Errorf("storage: %s is in use by another process", s.Folder)
+	}
+	s.lock = f
+	return nil
+}
+
+// Close releases the folder.
+func (s *Storer) Close() error {
+	var err error
+	if s.segment != nil {
+		err = s.segment.Close()
+	}
+	if s.lock != nil {
+		_ = s.lock.Close()
+	}
+	return errors.Trace(err)
+}
+
+// Save appends one frame and syncs it. After a failure every further call
+// fails, since what the disk holds is no longer known.
+func (s *Storer) Save(hard replicator.HardState, entries []replicator.Entry) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	payload, err := cbor.Marshal(record{hard, entries})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	s.frame++
+	if _, err = s.segment.Write(appendFrame(nil, s.frame, payload)); err != nil {
+		s.failed = errors.Annotatef(err, "storage: write %s", s.segmentPath(s.number))
+		return s.failed
+	}
+	if err = s.segment.Sync(); err != nil {
+		s.failed = errors.Annotatef(err, "storage: sync %s", s.segmentPath(s.number))
+		return s.failed
+	}
+	return nil
+}
+
+// SaveSnapshot writes the snapshot, then starts a segment that holds only the
+// entries after it, then removes the older segments.
+func (s *Storer) SaveSnapshot(snap replicator.Snapshot, hard replicator.HardState, rest []replicator.Entry) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	data, err := cbor.Marshal(snap)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := writeWhole(s.Folder, snapshotName, appendFrame(nil, uint64(snap.Index), data)); err != nil {
+		s.failed = err
+		return err
+	}
+	return s.startSegment(hard, rest)
+}
+
+// startSegment begins a new segment with the given content and removes the
+// older ones once it is synced.
+func (s *Storer) startSegment(hard replicator.HardState, entries []replicator.Entry) error {
+	old, err := s.segments()
+	if err != nil {
+		return err
+	}
+	if s.segment != nil {
+		_ = s.segment.Close()
+	}
+	s.number++
+	if s.segment, err = s.create(s.segmentPath(s.number)); err != nil {
+		s.failed = errors.Annotate(err, "storage: create segment")
+		return s.failed
+	}
+	if err := s.Save(hard, entries); err != nil {
+		return err
+	}
+	if err := syncFolder(s.Folder); err != nil {
+		s.failed = err
+		return err
+	}
+	for _, n := range old {
+		if n < s.number {
+			_ = os.Remove(s.segmentPath(n))
+		}
+	}
+	return nil
+}
+
+func (s *Storer) create(path string) (File, error) {
+	if s.Create != nil {
+		return s.Create(path)
+	}
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+}
+
+func (s *Storer) segmentPath(n uint64) string {
+	return filepath.Join(s.Folder, fmt.Sprintf("%s%012d", segmentName, n))
+}
+
+func (s *Storer) segments() ([]uint64, error) {
+	files, err := os.ReadDir(s.Folder)
+	if err != nil {
+		return nil, errors.Annotate(err, "storage: list folder")
+	}
+	var out []uint64
+	for _, f := range files {
+		text, ok := strings.CutPrefix(f.Name(), segmentName)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(text, 10, 64); err == nil {
+			out = append(out, n)
+		}
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+func writeWhole(folder, name string, data []byte) error {
+	path := filepath.Join(folder, name)
+	temp := path + ".new"
+	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	if err != nil {
+		return errors.Annotate(err, "storage: create file")
+	}
+	_, err = f.Write(data)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return errors.Annotatef(err, "storage: write %s", temp)
+	}
+	if err := os.Rename(temp, path); err != nil {
+		return errors.Annotatef(err, "storage: rename %s", temp)
+	}
+	return syncFolder(folder)
+}
+
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return errors.Annotate(err, "storage: open folder")
+	}
+	defer func() { _ = f.Close() }()
+	return errors.Annotate(f.Sync(), "storage: sync folder")
+}
