Test the replicated log under seeded schedules of faults

Cause: the log had no proof. Change: a driver that crashes, pauses, cuts, reorders, doubles and delays, wipes one disk, and lets clocks drift; histories of a register are checked with porcupine; each protection switched off must be noticed.

--- a/internal/state/replicator/core.go
+++ b/internal/state/replicator/core.go
@@ -79,7 +79,8 @@
 const (
 	WithoutSync Mechanism = 1 << iota // acknowledges before saving
 	WithoutCheckQuorum
-	WithoutLogCheck // votes for candidates with older logs
+	WithoutLogCheck  // votes for candidates with older logs
+	WithoutLeaseVote // votes although a leader was heard
 )
 
 type round struct {
--- /dev/null
+++ b/internal/state/replicator/core_test.go
@@ -0,0 +1,180 @@
+package replicator_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"masticroad/internal/state/replicator"
+)
+
+// schedule runs one seed and returns what went wrong.
+func schedule(seed int64, disabled replicator.Mechanism) []string {
+	voters := 3
+	if seed%3 == 0 {
+		voters = 5
+	}
+	d := newDriver(seed, voters, disabled)
+	for client := 0; client < 24 && len(d.problems) == 0; client++ {
+		d.run(time.Duration(50+d.rand.Intn(400)) * time.Millisecond)
+		d.act(client)
+	}
+	before := len(d.history)
+	d.heal()
+	if len(d.problems) > 0 {
+		return d.problems
+	}
+	if d.leader() == nil {
+		d.problem("no leader after all faults ended")
+	}
+	for _, m := range d.members {
+		if len(m.applied) < before {
+			d.problem("%s applied %d values, but %d were applied before", m.core.ID, len(m.applied), before)
+		}
+		if len(m.applied) != len(d.history) {
+			d.problem("%s applied %d of %d values", m.core.ID, len(m.applied), len(d.history))
+		}
+	}
+	if !d.linearizable() {
+		d.problem("the history is not linearizable")
+	}
+	return d.problems
+}
+
+// seeds returns the number of schedules, which MASTICROAD_SCHEDULES raises.
+func seeds(normal int64) int64 {
+	if n, err := strconv.ParseInt(os.Getenv("MASTICROAD_SCHEDULES"), 10, 64); err == nil {
+		return n
+	}
+	return normal
+}
+
+func TestSchedulesOfFaults(t *testing.T) {
+	for seed := range seeds(300) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			quicktest.Assert(t, schedule(seed, 0), quicktest.HasLen, 0)
+		})
+	}
+}
+
+// The checks above must notice when a protection is switched off.
+func TestSchedulesNoticeMissingProtections(t *testing.T) {
+	for name, disabled := range map[string]replicator.Mechanism{
+		"sync":         replicator.WithoutSync,
+		"check-quorum": replicator.WithoutCheckQuorum | replicator.WithoutLeaseVote,
+		"log-check":    replicator.WithoutLogCheck,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range int64(2000) {
+				if len(schedule(seed, disabled)) > 0 {
+					return
+				}
+			}
+			t.Fatalf("2000 schedules without %s passed", name)
+		})
+	}
+}
+
+func TestSchedulesShrink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Int64Range(0, 1<<40).Draw(t, "seed")
+		if problems := schedule(seed, 0); len(problems) > 0 {
+			t.Fatalf("seed %d: %v", seed, problems)
+		}
+	})
+}
+
+func TestMain(m *testing.M) {
+	// rapid takes its seed from a flag, so that each run gives the same verdict.
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flagSet(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func TestLeaderAfterCrash(t *testing.T) {
+	c := quicktest.New(t)
+	d := newDriver(1, 3, 0)
+	d.faults = false
+	d.run(2 * time.Second)
+	first := d.leader()
+	c.Assert(first, quicktest.IsNotNil)
+	d.crash(first)
+	d.run(2 * time.Second)
+	second := d.leader()
+	c.Assert(second, quicktest.IsNotNil)
+	c.Assert(second.name, quicktest.Not(quicktest.Equals), first.name)
+}
+
+func TestTransferOfLeadership(t *testing.T) {
+	c := quicktest.New(t)
+	d := newDriver(2, 3, 0)
+	d.faults = false
+	d.run(2 * time.Second)
+	first := d.leader()
+	c.Assert(first.core.Transfer(d.clock(first)), quicktest.IsTrue)
+	d.flush(first)
+	d.run(300 * time.Millisecond) // shorter than any election timeout
+	c.Assert(first.core.Status().Role, quicktest.Equals, replicator.Follower)
+	c.Assert(d.leader(), quicktest.IsNotNil)
+}
+
+func TestWipedVoterIsReplaced(t *testing.T) {
+	c := quicktest.New(t)
+	d := newDriver(3, 3, 0)
+	d.faults = false
+	d.run(2 * time.Second)
+	for i := range 20 {
+		d.act(i)
+		d.run(50 * time.Millisecond)
+	}
+	lost := d.members[0]
+	if lost == d.leader() {
+		lost = d.members[1]
+	}
+	d.wipe(lost)
+	d.run(500 * time.Millisecond)
+	d.boot(lost)
+	d.run(10 * time.Second)
+	voters := d.leader().core.Status().Voters
+	c.Assert(voters, quicktest.HasLen, 3)
+	c.Assert(voters, quicktest.Contains, lost.core.ID)
+	c.Assert(lost.applied, quicktest.DeepEquals, d.history)
+	// A second loss right after the repair leaves a quorum.
+	for _, m := range d.members {
+		if m != lost {
+			d.crash(m)
+			break
+		}
+	}
+	d.run(3 * time.Second)
+	c.Assert(d.leader(), quicktest.IsNotNil)
+}
+
+func TestCutOffLeaderLosesItsLease(t *testing.T) {
+	c := quicktest.New(t)
+	d := newDriver(4, 3, 0)
+	d.faults = false
+	d.run(2 * time.Second)
+	old := d.leader()
+	for _, m := range d.members {
+		d.blocked[[2]string{m.name, old.name}] = true
+		d.blocked[[2]string{old.name, m.name}] = true
+	}
+	d.run(time.Minute)
+	c.Assert(old.core.Status().Role, quicktest.Not(quicktest.Equals), replicator.Leader)
+	term := d.leader().core.Status().Term
+	clear(d.blocked)
+	d.run(2 * time.Second)
+	c.Assert(d.leader().core.Status().Term, quicktest.Equals, term) // pre-vote kept the term
+	c.Assert(d.problems, quicktest.HasLen, 0)
+}
--- /dev/null
+++ b/internal/state/replicator/driver_test.go
@@ -0,0 +1,468 @@
+package replicator_test
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/state/replicator"
+)
+
+// This file drives several cores through faults from a seed: crashes that lose
+// what was not saved, pauses, lost, late, doubled and reordered messages,
+// one-way partitions, clocks of unlike speed, disks that are wiped. Clients
+// write and read one register meanwhile, and the driver notes what each replica
+// applied.
+
+const (
+	step     = 10 * time.Millisecond
+	maxDrift = 0.02
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+// disk is what a replica has saved.
+type disk struct {
+	saved replicator.Saved
+}
+
+func (d *disk) Save(hard replicator.HardState, entries []replicator.Entry) error {
+	d.saved.Hard = hard
+	for _, e := range entries {
+		keep := e.Index - d.saved.Snapshot.Index - 1
+		d.saved.Entries = append(d.saved.Entries[:keep:keep], e)
+	}
+	return nil
+}
+
+func (d *disk) SaveSnapshot(snap replicator.Snapshot, hard replicator.HardState, rest []replicator.Entry) error {
+	d.saved = replicator.Saved{Hard: hard, Snapshot: snap, Entries: slices.Clone(rest)}
+	return nil
+}
+
+type member struct {
+	name    string
+	life    int
+	core    *replicator.Core
+	disk    *disk
+	down    bool
+	pause   time.Duration // left
+	rate    float64       // of its clock
+	skew    time.Duration
+	applied []string // values in log order
+	index   registrar.Index
+	waiting map[string]*op // proposals by value
+	reads   map[replicator.ReadID]*op
+}
+
+type op struct {
+	client int
+	write  bool
+	value  string
+	called int64
+	done   bool
+	result string
+	ended  int64
+}
+
+type delivery struct {
+	at  time.Duration
+	seq int
+	m   replicator.Message
+}
+
+type driver struct {
+	rand     *rand.Rand
+	now      time.Duration
+	members  []*member
+	flight   []delivery
+	blocked  map[[2]string]bool // from, to
+	ops      []*op
+	history  []string // longest applied sequence seen
+	problems []string
+	disabled replicator.Mechanism
+	seq      int
+	nextRead replicator.ReadID
+	faults   bool
+	wipes    int
+}
+
+func newDriver(seed int64, voters int, disabled replicator.Mechanism) *driver {
+	d := &driver{rand: rand.New(rand.NewSource(seed)), blocked: make(map[[2]string]bool), disabled: disabled, faults: true}
+	var ids []replicator.ReplicaID
+	for i := range voters {
+		ids = append(ids, replicator.ReplicaID(fmt.Sprintf("vm%d.1", i+1)))
+	}
+	for i := range voters {
+		m := &member{name: fmt.Sprintf("vm%d", i+1), life: 1, disk: &disk{}}
+		m.rate = 1 + maxDrift*(2*d.rand.Float64()-1)/2
+		m.disk.saved.Snapshot.Voters = ids
+		d.members = append(d.members, m)
+		d.boot(m)
+	}
+	return d
+}
+
+func (d *driver) clock(m *member) time.Time {
+	return epoch.Add(time.Duration(float64(d.now)*m.rate) + m.skew)
+}
+
+func (d *driver) boot(m *member) {
+	timing := replicator.DefaultTiming
+	timing.ReplaceAfter = time.Second
+	m.core = &replicator.Core{
+		Group: 1, ID: replicator.ReplicaID(fmt.Sprintf("%s.%d", m.name, m.life)), Durable: true, Timing: timing,
+		Rand: rand.New(rand.NewSource(d.rand.Int63())), Disabled: d.disabled,
+	}
+	saved := m.disk.saved
+	saved.Entries = slices.Clone(saved.Entries)
+	m.core.Start(saved, d.clock(m))
+	m.down, m.pause = false, 0
+	m.applied, m.index = nil, 0
+	m.waiting, m.reads = make(map[string]*op), make(map[replicator.ReadID]*op)
+	if saved.Snapshot.Index > 0 {
+		m.restore(saved.Snapshot)
+	}
+}
+
+func (m *member) restore(s replicator.Snapshot) {
+	m.applied = nil
+	if len(s.Data) > 0 {
+		for _, v := range splitValues(s.Data) {
+			m.applied = append(m.applied, v)
+		}
+	}
+	m.index = s.Index
+}
+
+func splitValues(data []byte) []string {
+	var out []string
+	start := 0
+	for i, b := range data {
+		if b == '\n' {
+			out = append(out, string(data[start:i]))
+			start = i + 1
+		}
+	}
+	return out
+}
+
+func joinValues(values []string) []byte {
+	var out []byte
+	for _, v := range values {
+		out = append(append(out, v...), '\n')
+	}
+	return out
+}
+
+// run lets the given time pass.
+func (d *driver) run(limit time.Duration) {
+	end := d.now + limit
+	for d.now < end && len(d.problems) == 0 {
+		d.now += step
+		if d.faults {
+			d.injectFault()
+		}
+		d.deliver()
+		for _, m := range d.members {
+			d.tick(m)
+		}
+		d.checkLeases()
+	}
+}
+
+func (d *driver) injectFault() {
+	m := d.members[d.rand.Intn(len(d.members))]
+	switch d.rand.Intn(400) {
+	case 0, 1:
+		d.crash(m)
+	case 2, 3:
+		m.pause = time.Duration(d.rand.Intn(3000)) * time.Millisecond
+	case 4, 5, 6:
+		other := d.members[d.rand.Intn(len(d.members))]
+		d.blocked[[2]string{m.name, other.name}] = true
+	case 7, 8, 9, 10, 11, 12:
+		clear(d.blocked)
+	case 13:
+		for _, other := range d.members {
+			d.blocked[[2]string{m.name, other.name}] = true
+			d.blocked[[2]string{other.name, m.name}] = true
+		}
+	case 14:
+		if d.wipes == 0 && d.rand.Intn(4) == 0 {
+			d.wipe(m)
+		}
+	}
+	for _, x := range d.members {
+		if x.down && d.rand.Intn(60) == 0 {
+			d.boot(x)
+		}
+	}
+}
+
+func (d *driver) crash(m *member) {
+	m.down = true
+	d.abandon(m)
+}
+
+// abandon leaves the operations of a member open: they may or may not happen.
+func (d *driver) abandon(m *member) {
+	m.waiting, m.reads = make(map[string]*op), make(map[replicator.ReadID]*op)
+}
+
+// wipe loses the disk of a member, which then comes back with a new identity.
+func (d *driver) wipe(m *member) {
+	d.wipes++
+	d.crash(m)
+	m.life++
+	m.disk = &disk{}
+}
+
+func (d *driver) deliver() {
+	var due, rest []delivery
+	for _, x := range d.flight {
+		if x.at <= d.now {
+			due = append(due, x)
+			continue
+		}
+		rest = append(rest, x)
+	}
+	d.flight = rest
+	slices.SortFunc(due, func(a, b delivery) int {
+		if a.at != b.at {
+			return int(a.at - b.at)
+		}
+		return a.seq - b.seq
+	})
+	for _, x := range due {
+		for _, m := range d.members {
+			if m.core.ID != x.m.To && x.m.To != "" || m.name == replicator.NameOf(x.m.From) {
+				continue
+			}
+			if m.down {
+				continue
+			}
+			if m.pause > 0 { // the kernel keeps what arrives
+				x.at = d.now + step
+				x.m.To = m.core.ID
+				d.flight = append(d.flight, x)
+				continue
+			}
+			m.core.Step(x.m, d.clock(m))
+			d.flush(m)
+		}
+	}
+}
+
+func (d *driver) tick(m *member) {
+	if m.down {
+		return
+	}
+	if m.pause > 0 {
+		m.pause -= step
+		return
+	}
+	m.core.Tick(d.clock(m))
+	d.flush(m)
+	d.maybeCompact(m)
+}
+
+func (d *driver) send(messages []replicator.Message) {
+	for _, m := range messages {
+		from, to := replicator.NameOf(m.From), replicator.NameOf(m.To)
+		if d.blocked[[2]string{from, to}] || d.faults && d.rand.Intn(30) == 0 {
+			continue
+		}
+		copies := 1
+		if d.faults && d.rand.Intn(40) == 0 {
+			copies = 2
+		}
+		for range copies {
+			delay := time.Duration(1+d.rand.Intn(15)) * time.Millisecond
+			if d.faults && d.rand.Intn(100) == 0 {
+				delay = time.Duration(d.rand.Intn(1500)) * time.Millisecond
+			}
+			d.seq++
+			d.flight = append(d.flight, delivery{d.now + delay, d.seq, m})
+		}
+	}
+}
+
+// flush carries out what a core decided. A crash may fall between sending and
+// saving.
+func (d *driver) flush(m *member) {
+	for m.core.HasWork() && !m.down {
+		r := m.core.Ready()
+		d.send(r.Early)
+		if d.faults && len(r.Entries)+len(r.Late) > 0 && d.rand.Intn(500) == 0 {
+			d.crash(m)
+			return
+		}
+		if r.Snapshot != nil {
+			_ = m.disk.SaveSnapshot(*r.Snapshot, r.Hard, nil)
+			m.restore(*r.Snapshot)
+		}
+		_ = m.disk.Save(r.Hard, r.Entries)
+		committed := m.core.Saved()
+		d.send(r.Late)
+		d.apply(m, committed)
+		for _, id := range r.Reads {
+			if o := m.reads[id]; o != nil {
+				d.finish(o, last(m.applied))
+				delete(m.reads, id)
+			}
+		}
+	}
+}
+
+func last(values []string) string {
+	if len(values) == 0 {
+		return ""
+	}
+	return values[len(values)-1]
+}
+
+func (d *driver) apply(m *member, entries []replicator.Entry) {
+	for _, e := range entries {
+		if e.Index != m.index+1 {
+			d.problem("%s applied index %d after %d", m.core.ID, e.Index, m.index)
+		}
+		m.index = e.Index
+		if e.Type != replicator.EntryNormal {
+			continue
+		}
+		v := string(e.Data)
+		m.applied = append(m.applied, v)
+		if o := m.waiting[v]; o != nil {
+			d.finish(o, "")
+			delete(m.waiting, v)
+		}
+	}
+	n := min(len(m.applied), len(d.history))
+	if !slices.Equal(m.applied[:n], d.history[:n]) {
+		d.problem("%s applied another sequence than an earlier replica", m.core.ID)
+	}
+	if len(m.applied) > len(d.history) {
+		d.history = slices.Clone(m.applied)
+	}
+}
+
+func (d *driver) maybeCompact(m *member) {
+	entries, _ := m.core.TailSize()
+	if entries < 12 || d.rand.Intn(20) != 0 {
+		return
+	}
+	snap, rest, ok := m.core.Compact(m.index, joinValues(m.applied))
+	if !ok {
+		return
+	}
+	_ = m.disk.SaveSnapshot(snap, m.disk.saved.Hard, rest)
+}
+
+func (d *driver) problem(format string, args ...any) {
+	d.problems = append(d.problems, fmt.Sprintf(format, args...))
+}
+
+// checkLeases looks for two leaders that both hold a lease.
+func (d *driver) checkLeases() {
+	holder := ""
+	for _, m := range d.members {
+		st := m.core.Status()
+		if m.down || st.Role != replicator.Leader || !d.clock(m).Before(st.LeaseUntil) {
+			continue
+		}
+		if holder != "" {
+			d.problem("%s and %s both hold the leader's lease", holder, m.name)
+		}
+		holder = m.name
+	}
+}
+
+func (d *driver) finish(o *op, result string) {
+	o.done, o.result, o.ended = true, result, int64(d.now)+int64(len(d.ops))
+}
+
+// act lets a client write or read at a member that leads.
+func (d *driver) act(client int) {
+	for _, m := range d.members {
+		if m.down || m.pause > 0 || m.core.Status().Role != replicator.Leader {
+			continue
+		}
+		o := &op{client: client, write: d.rand.Intn(2) == 0, called: int64(d.now)}
+		if o.write {
+			o.value = fmt.Sprintf("v%d", len(d.ops)+1)
+			if _, err := m.core.Propose([]byte(o.value), d.clock(m)); err != nil {
+				continue
+			}
+			m.waiting[o.value] = o
+		} else {
+			d.nextRead++
+			if err := m.core.Read(d.nextRead, d.clock(m)); err != nil {
+				continue
+			}
+			m.reads[d.nextRead] = o
+		}
+		d.ops = append(d.ops, o)
+		d.flush(m)
+	}
+}
+
+// leader returns the member that leads with a quorum, or nil.
+func (d *driver) leader() *member {
+	for _, m := range d.members {
+		if st := m.core.Status(); !m.down && st.Role == replicator.Leader && d.clock(m).Before(st.LeaseUntil) {
+			return m
+		}
+	}
+	return nil
+}
+
+// heal ends all faults and lets the members agree.
+func (d *driver) heal() {
+	d.faults = false
+	clear(d.blocked)
+	for _, m := range d.members {
+		m.pause = 0
+		if m.down {
+			d.boot(m)
+		}
+	}
+	d.run(15 * time.Second)
+}
+
+type registerInput struct {
+	write bool
+	value string
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return "" },
+	Step: func(state, input, output any) (bool, any) {
+		in := input.(registerInput)
+		if in.write {
+			return true, in.value
+		}
+		return output.(string) == state.(string), state
+	},
+}
+
+// linearizable checks the clients' history. A write that was not answered may
+// take effect at any later time; a read that was not answered is left out.
+func (d *driver) linearizable() bool {
+	var ops []porcupine.Operation
+	for i, o := range d.ops {
+		if !o.done && !o.write {
+			continue
+		}
+		end := o.ended
+		if !o.done {
+			end = int64(d.now) + int64(time.Hour) + int64(i)
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Input: registerInput{o.write, o.value}, Call: o.called, Output: o.result, Return: end})
+	}
+	return porcupine.CheckOperationsTimeout(registerModel, ops, 10*time.Second) != porcupine.Illegal
+}
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -109,7 +109,8 @@
 	if pre {
 		free = m.Term > c.term
 	}
-	if c.hasLeader(now) && !m.Force || !fresh || !free || m.Term < c.term {
+	leased := c.hasLeader(now) && !m.Force && c.Disabled&WithoutLeaseVote == 0
+	if leased || !fresh || !free || m.Term < c.term {
 		c.send(reply)
 		return
 	}
