--- a/internal/load/launcher/launcher.go
+++ b/internal/load/launcher/launcher.go
@@ -54,8 +54,9 @@
 	// WorkerStops end single targets.
 	WorkerStops []context.CancelFunc
 
-	ctx    context.Context
-	cancel context.CancelFunc
+	ctx     context.Context
+	cancel  context.CancelFunc
+	outside []string // addresses of daemons that run elsewhere
 }
 
 // Node is one daemon of a cell.
@@ -81,7 +82,16 @@
 	if err := c.AwaitReady(ctx); err != nil {
 		return err
 	}
-	return c.startWorkers()
+	return c.startWorkers(nil)
+}
+
+// StartTargets runs only the stand-in targets of the cell, against daemons that
+// run elsewhere. Adjust, when set, changes each target before it starts.
+func (c *Cell) StartTargets(ctx context.Context, daemons []string, adjust func(*imitator.Target)) error {
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.History = imitator.NewHistory()
+	c.outside = daemons
+	return c.startWorkers(adjust)
 }
 
 // prepare chooses addresses and writes the data folders.
@@ -146,7 +156,7 @@
 	return s, nil
 }
 
-func (c *Cell) startWorkers() error {
+func (c *Cell) startWorkers(adjust func(*imitator.Target)) error {
 	for i := range c.Targets.Count {
 		place := c.Places[i%len(c.Places)]
 		w := &imitator.Target{
@@ -156,6 +166,9 @@
 			Capacity: c.Targets.Capacity, Slots: c.Targets.Slots, Connections: c.Targets.Connections,
 			Daemons: c.HTTP(), Interval: c.Targets.Interval, History: c.History, Now: c.Now,
 		}
+		if adjust != nil {
+			adjust(w)
+		}
 		if err := w.Listen(); err != nil {
 			return errors.Trace(err)
 		}
@@ -169,7 +182,7 @@
 
 // HTTP returns the HTTP addresses of the daemons.
 func (c *Cell) HTTP() []string {
-	var out []string
+	out := c.outside
 	for _, n := range c.Nodes {
 		out = append(out, n.Settings.ListenHTTP)
 	}
