--- a/internal/control/decider/decider.go
+++ b/internal/control/decider/decider.go
@@ -271,6 +271,9 @@
 	}
 	d.popDelayed(now)
 	d.place(now)
+	if len(d.waiting) > 0 {
+		d.answerChanges(now)
+	}
 	return d.round.Round
 }
 
@@ -293,7 +296,6 @@
 		d.reconcileTargets(now)
 	}
 	d.checkRetirements(now)
-	d.answerChanges(now)
 	if now.Sub(d.lastExpire) >= expireInterval {
 		d.lastExpire = now
 		d.expire(now)
--- a/internal/daemon/controller/controller.go
+++ b/internal/daemon/controller/controller.go
@@ -41,6 +41,7 @@
 	// committed events and each new view.
 	Observe func(events []registrar.Event, at registrar.Millis)
 
+	ctx      context.Context // of Run
 	state    *registrar.State
 	views    atomic.Pointer[View]
 	inputs   chan decider.Input
@@ -83,6 +84,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	defer c.Decider.Abandon()
+	c.ctx = ctx
 	for {
 		select {
 		case <-ctx.Done():
@@ -189,10 +191,24 @@
 		c.inflight = nil
 		c.Decider.Committed(entry.Events, c.Now())
 		c.release(round)
+		if changesConfiguration(entry.Events) {
+			c.Node.Hurry(c.ctx)
+		}
 	}
 	return nil
 }
 
+// changesConfiguration reports whether operators wait until every daemon has
+// applied the events.
+func changesConfiguration(events []registrar.Event) bool {
+	for _, ev := range events {
+		if _, ok := ev.(registrar.ConfigChanged); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // checkLeadership ends the decider's work when this replica no longer leads in
 // the term that the decider was begun for.
 func (c *Controller) checkLeadership() {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -278,6 +278,7 @@
 
 func (r *Runner) routes(app *iris.Application) {
 	s := r.Settings
+	app.UseRouter(r.endConnections)
 	callers := &caller.Server{
 		Gateway: r.gate, View: r.control.View, Operator: r.operators, Now: r.Now,
 		MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, BodyTimeout: s.BodyTimeout,
@@ -295,6 +296,15 @@
 	p.Routes(app)
 }
 
+// endConnections lets clients close their connections during a planned stop,
+// so that none is closed while a request is on its way.
+func (r *Runner) endConnections(ctx iris.Context) {
+	if r.gate.Stopping() {
+		ctx.Header("Connection", "close")
+	}
+	ctx.Next()
+}
+
 // notReady returns why the balancer should send no requests, or nothing.
 func (r *Runner) notReady() string {
 	switch {
--- a/internal/load/launcher/launcher.go
+++ b/internal/load/launcher/launcher.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -99,11 +101,11 @@
 	peers := make([]loader.Peer, c.Daemons)
 	https := make([]string, c.Daemons)
 	for i := range c.Daemons {
-		replicaAddr, err := freeAddress()
+		replicaAddr, err := FreeAddress()
 		if err != nil {
 			return err
 		}
-		if https[i], err = freeAddress(); err != nil {
+		if https[i], err = FreeAddress(); err != nil {
 			return err
 		}
 		peers[i] = loader.Peer{Name: registrar.DaemonName(fmt.Sprintf("vm%d", i+1)), Address: replicaAddr}
@@ -123,16 +125,34 @@
 	return nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Annotate(err, "launcher: free port")
+// Ports that are given out lie below those that the kernel gives to outgoing
+// connections, so that none is taken between the choice and its use.
+const (
+	firstPort = 10000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Uint32
+
+// FreeAddress returns a loopback address that no process listens on and that
+// this process gives out once.
+func FreeAddress() (string, error) {
+	for range lastPort - firstPort {
+		n := nextPort.Add(1) + uint32(os.Getpid()*portsPerProcess)
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+n%(lastPort-firstPort))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address, nil
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("launcher: no free port")
 }
 
+// portsPerProcess spreads the choices of processes that run side by side.
+const portsPerProcess = 200
+
 func (c *Cell) settings(i int, peers []loader.Peer, httpAddr string) (*loader.Settings, error) {
 	place := c.Places[i%len(c.Places)]
 	text := fmt.Sprintf("[Cell]\nName = %s\nVoters = vm1\n[Daemon]\nName = %s\nRegion = %s\nZone = %s\nListenHTTP = %s\nListenReplica = %s\n[Peers]\nvm1 = 127.0.0.1:1\n%s = 127.0.0.1:1\n[Storage]\nDataFolder = unset\n",
--- a/internal/state/replicator/leader.go
+++ b/internal/state/replicator/leader.go
@@ -42,6 +42,18 @@
 	return n < quorumOf(c.members)
 }
 
+// Hurry sends a heartbeat, with the newest commit index, to every replica.
+func (c *Core) Hurry(now time.Time) {
+	if c.role != Leader {
+		return
+	}
+	c.newRound(now)
+	for id, p := range c.progress {
+		c.sendAppend(id, p, now, true)
+	}
+	c.countRounds()
+}
+
 func (c *Core) newRound(now time.Time) {
 	c.seq++
 	c.beatAt = now
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -89,6 +89,11 @@
 	})
 }
 
+// Hurry tells the followers about the newest commit at once.
+func (n *Node) Hurry(ctx context.Context) {
+	n.do(ctx, func(now time.Time) { n.Core.Hurry(now) })
+}
+
 // Read asks for a linearizable read; its id returns in an update, or never
 // when leadership is lost.
 func (n *Node) Read(ctx context.Context, id ReadID) {
