Decide on a target's new life by what it lists, not by its number

Cause: a random walk over the decisions found a task on two targets: a start decided before a restart was known arrived in the target's new life, whose announcement then ended the attempt as lost. Change: an attempt is ended only when its target does not list it and its start can no longer arrive; a target gets work only while its lease outlasts a start; a daemon asks a restarted target at its new address.

--- a/internal/control/decider/targets.go
+++ b/internal/control/decider/targets.go
@@ -11,7 +11,9 @@
 
 // This file keeps the leader's view of the targets: what each has free,
 // whether it takes new work, and its lease. Example: a target that announces a
-// new life has lost every task it ran, so their attempts are confirmed ended.
+// new life has lost what it ran in the earlier one, but may already run a start
+// that was sent before the new life was known. So an attempt is ended only when
+// the target does not list it and its start can no longer arrive.
 
 type targetView struct {
 	rec      *registrar.Target
@@ -58,14 +60,17 @@
 func (d *Decider) refreshOpen(v *targetView, now time.Time) {
 	t := v.rec
 	usable := t.State == registrar.TargetAlive && !t.Draining && !t.Leaving && !t.Retiring
-	usable = usable && d.leaseHeld(t.Name, now)
+	usable = usable && d.leaseOutlastsStart(t.Name, now)
 	v.place.Open = usable && t.Quarantine == 0
 	_, running := d.State.Used(t.Name)
 	v.place.Probing = usable && t.Quarantine > 0 && registrar.MillisOf(now) >= t.ProbeAfter && running == 0
 }
 
-func (d *Decider) leaseHeld(name registrar.TargetName, now time.Time) bool {
-	return d.targetLeases.Held(name, now)
+// leaseOutlastsStart reports whether a start that is decided now reaches the
+// target before its lease can end. Otherwise a start could arrive after the
+// target was given up.
+func (d *Decider) leaseOutlastsStart(name registrar.TargetName, now time.Time) bool {
+	return d.targetLeases.Held(name, now.Add(d.Timing.StartWindow+d.Timing.Transit))
 }
 
 // refreshOrder rebuilds the list of targets that may take work, and the sums
@@ -148,10 +153,6 @@
 	if rec == nil || announcedChanged(rec, &fresh) {
 		d.emit(registrar.TargetAnnounced{Target: fresh})
 	}
-	if rec != nil && rec.Life < a.Life {
-		d.endAllOn(rec.Name, "target restarted", now)
-		return
-	}
 	v := d.targets[a.Name]
 	if v == nil || rec == nil {
 		return
--- a/internal/daemon/gateway/dispatch.go
+++ b/internal/daemon/gateway/dispatch.go
@@ -202,6 +202,9 @@
 	arrived := a.StartBy.Add(transit)
 	silentTold := false
 	for {
+		if rec := g.View().Targets[a.Target]; rec != nil {
+			address = rec.Address // a restarted target may have another one
+		}
 		st, err := g.ask(address, a)
 		if err == nil {
 			if r, ok := reportOf(st, reason, registrar.MillisOf(g.Now()) >= arrived); ok {
