--- a/internal/cli/commander/load.go
+++ b/internal/cli/commander/load.go
@@ -38,6 +38,7 @@
 	interval  time.Duration
 	format    string
 	count     int
+	settle    time.Duration
 }
 
 func newLoad(s *streams) *cobra.Command {
@@ -66,6 +67,7 @@
 	f.BoolVar(&o.loseRack, "lose-rack", false, "end the targets of one rack halfway")
 	f.DurationVar(&o.interval, "announce", time.Second, "time between announcements of a target")
 	f.StringVar(&o.format, "format", "table", "table or json")
+	f.DurationVar(&o.settle, "settle", 0, "time between the declarations and the load")
 	f.IntVar(&o.count, "services", 0, "replicas of a long-running service that stay up beside the load")
 	return cmd
 }
@@ -154,6 +156,11 @@
 	if err := r.awaitTargets(ctx); err != nil {
 		return nil, err
 	}
+	select {
+	case <-ctx.Done():
+		return nil, errors.Trace(ctx.Err())
+	case <-time.After(r.o.settle):
+	}
 	return r.measure(ctx)
 }
 
--- a/internal/control/decider/admit.go
+++ b/internal/control/decider/admit.go
@@ -70,6 +70,18 @@
 	if r := d.neverFits(c, a.Need, a.Region); r != nil {
 		return r
 	}
+	r := d.queueRefusal(a, c, now)
+	if r == nil || d.queue.Len() == d.round.leftOver {
+		return r
+	}
+	// Targets may have room for what arrived earlier in the same round.
+	d.place(now)
+	d.round.leftOver = d.queue.Len()
+	return d.queueRefusal(a, c, now)
+}
+
+// queueRefusal returns why the queue does not take a request, or nil.
+func (d *Decider) queueRefusal(a *Admit, c *registrar.Caller, now time.Time) *admitter.Refusal {
 	left := time.Duration(-1)
 	if a.Deadline > 0 && d.policies.DeadlineAdmission {
 		left = max(a.Deadline.Time().Sub(now), 0)
--- a/internal/control/decider/decider.go
+++ b/internal/control/decider/decider.go
@@ -125,10 +125,11 @@
 
 type roundState struct {
 	Round
-	touched map[registrar.TaskID]bool
-	fresh   map[registrar.RequestKey]*registrar.Task
-	changed map[registrar.ChangeID]registrar.Digest
-	jobs    map[registrar.JobKey]bool
+	touched  map[registrar.TaskID]bool
+	fresh    map[registrar.RequestKey]*registrar.Task
+	changed  map[registrar.ChangeID]registrar.Digest
+	jobs     map[registrar.JobKey]bool
+	leftOver int // work that waited after the last placement of the round
 	// admitted tells which event of the round admits a task.
 	admitted map[registrar.TaskID]int
 }
@@ -255,6 +256,7 @@
 		jobs:    make(map[registrar.JobKey]bool),
 
 		admitted: make(map[registrar.TaskID]int),
+		leftOver: -1,
 	}
 	d.roundPeers = make(map[registrar.JobKey][]*placer.Target)
 }
@@ -281,6 +283,9 @@
 	return d.round.Round
 }
 
+// RoundDelay returns the least time between two rounds.
+func (d *Decider) RoundDelay() time.Duration { return d.policies.RoundDelay }
+
 // HasDue reports whether Decide has something to do without any input.
 func (d *Decider) HasDue(now time.Time) bool {
 	return now.Sub(d.lastTick) >= tickInterval
--- a/internal/control/decider/policy.go
+++ b/internal/control/decider/policy.go
@@ -41,6 +41,7 @@
 	LearnNeeds        bool
 	DeadlineAdmission bool
 	RestartPerSecond  float64
+	RoundDelay        time.Duration
 }
 
 // Knob describes one policy.
@@ -80,6 +81,7 @@
 	{"Retention.Jobs", "168h", "time for which an ended job and its tasks are known", duration(func(p *Policies) *time.Duration { return &p.JobRetention })},
 	{"Retention.Changes", "168h", "time for which a change id is known", duration(func(p *Policies) *time.Duration { return &p.ChangeRetention })},
 	{"Learn.Needs", "true", "charge a task with the learned use of its kind where that is above its declared need", boolean(func(p *Policies) *bool { return &p.LearnNeeds })},
+	{"Round.Delay", "5ms", "least time between two rounds of decisions; a longer one costs waiting time and saves control traffic", duration(func(p *Policies) *time.Duration { return &p.RoundDelay })},
 	{"Restart.PerSecond", "200", "tasks of lost targets that are queued again in a second", fraction(func(p *Policies) *float64 { return &p.RestartPerSecond })},
 }
 
--- a/internal/daemon/controller/controller.go
+++ b/internal/daemon/controller/controller.go
@@ -21,7 +21,7 @@
 // decides on committed state, and what arrives meanwhile is decided together.
 
 const (
-	tickInterval = 50 * time.Millisecond // of a leader
+	tickInterval = 100 * time.Millisecond // of a leader
 	idleTick     = time.Second
 	inputQueue   = 4096
 	maxGather    = 2048
@@ -63,6 +63,9 @@
 	nextRead  replicator.ReadID
 	dirty     bool
 	compacted chan struct{}
+	roundAt   time.Time
+	wake      chan struct{}
+	waking    bool
 	tailCount int
 	tailBytes int
 }
@@ -77,6 +80,7 @@
 	c.sessions = make(map[registrar.DaemonName]*session)
 	c.reads = make(map[replicator.ReadID]*query)
 	c.compacted = make(chan struct{}, 1)
+	c.wake = make(chan struct{}, 1)
 	c.state.OnEvent = c.noteEvent
 	c.publish()
 }
@@ -106,6 +110,8 @@
 			c.takeQuery(ctx, q)
 		case s := <-c.attach:
 			c.attachSession(s)
+		case <-c.wake:
+			c.waking = false
 		case <-tick.C:
 		}
 		c.gather()
@@ -271,9 +277,14 @@
 		return nil
 	}
 	now := c.Now()
+	if wait := c.Decider.RoundDelay() - now.Sub(c.roundAt); wait > 0 {
+		c.wakeAfter(wait)
+		return nil
+	}
 	if len(c.gathered) == 0 && len(c.wanted) == 0 && !c.Decider.HasDue(now) {
 		return nil
 	}
+	c.roundAt = now
 	inputs, changes := c.gathered, c.wanted
 	c.gathered, c.wanted = nil, nil
 	round := c.Decider.Decide(inputs, changes, c.Node.Status().LeaseUntil, now)
@@ -291,6 +302,20 @@
 	return nil
 }
 
+// wakeAfter makes the loop go round once more after the given time.
+func (c *Controller) wakeAfter(d time.Duration) {
+	if c.waking {
+		return
+	}
+	c.waking = true
+	time.AfterFunc(d, func() {
+		select {
+		case c.wake <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // rejectWaiting answers what only a leader can answer.
 func (c *Controller) rejectWaiting() {
 	c.gathered = nil
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -78,6 +78,9 @@
 
 // Work is the stand-in's work: it notes the start and tells the run time.
 func (g *Generator) Work(s *target.Start) (time.Duration, []byte) {
+	if s.Background {
+		return endless, nil
+	}
 	var b body
 	if json.Unmarshal(s.Body, &b) != nil {
 		return 0, s.Body
@@ -86,6 +89,9 @@
 	return time.Duration(b.RunMillis) * time.Millisecond, s.Body
 }
 
+// endless is the run time of the standing services.
+const endless = 24 * time.Hour
+
 func (g *Generator) noteStart(seq int) {
 	now := time.Now()
 	g.mu.Lock()
--- a/internal/load/imitator/history.go
+++ b/internal/load/imitator/history.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -122,6 +123,22 @@
 	return out
 }
 
+// Trace lists every start of the requests with the given body.
+func (h *History) Trace(body string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var lines []string
+	for id, list := range h.starts {
+		for _, a := range list {
+			if a.Body == body {
+				lines = append(lines, fmt.Sprintf("task %d attempt %d on %s at %s: %s", id, a.Attempt, a.Target, a.Began.Format("15:04:05.000"), a.State))
+			}
+		}
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "; ")
+}
+
 // Peak returns the most that the tasks on a target used at one time.
 func (h *History) Peak(name registrar.TargetName) registrar.Need {
 	h.mu.Lock()
--- a/internal/load/imitator/imitator.go
+++ b/internal/load/imitator/imitator.go
@@ -137,6 +137,20 @@
 		_ = server.Close()
 	}()
 	_ = server.Serve(t.listener) // ends with ctx
+	t.stopAll()
+}
+
+// stopAll ends every attempt, as the end of the target's process does.
+func (t *Target) stopAll() {
+	t.mu.Lock()
+	var refs []target.AttemptRef
+	for id, r := range t.running {
+		refs = append(refs, target.AttemptRef{Task: id, Attempt: r.start.Attempt})
+	}
+	t.mu.Unlock()
+	for _, ref := range refs {
+		t.stop(ref, Faults{})
+	}
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
@@ -399,15 +413,9 @@
 func (t *Target) checkLease() {
 	t.mu.Lock()
 	over := !t.lease.IsZero() && t.Now().After(t.lease)
-	var refs []target.AttemptRef
-	if over {
-		for id, r := range t.running {
-			refs = append(refs, target.AttemptRef{Task: id, Attempt: r.start.Attempt})
-		}
-	}
 	t.mu.Unlock()
-	for _, ref := range refs {
-		t.stop(ref, Faults{})
+	if over {
+		t.stopAll()
 	}
 }
 
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -138,11 +138,15 @@
 
 // readBody reads the whole body within the time and size allowed.
 func (s *Server) readBody(ctx iris.Context) ([]byte, bool) {
-	control := http.NewResponseController(ctx.ResponseWriter())
+	control := http.NewResponseController(ctx.ResponseWriter().Naive())
 	_ = control.SetReadDeadline(time.Now().Add(s.BodyTimeout)) // not all writers can
 	limit := int64(s.MaxBody)*base64Growth/100 + bodyRoom
 	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{}) // otherwise the rest of the body is not waited for
+	} else {
+		ctx.Header("Connection", "close")
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
--- a/internal/state/replicator/core.go
+++ b/internal/state/replicator/core.go
@@ -276,7 +276,7 @@
 	if m.Term == 0 {
 		m.Term = c.term
 	}
-	if c.Disabled&WithoutSync != 0 || m.Type == MsgAppend || m.Type == MsgSnapshot || m.Type == MsgJoin {
+	if c.Disabled&WithoutSync != 0 || m.Type == MsgAppend || m.Type == MsgSnapshot || m.Type == MsgJoin || m.Type == MsgHello {
 		c.early = append(c.early, m)
 		return
 	}
--- a/internal/state/replicator/driver_test.go
+++ b/internal/state/replicator/driver_test.go
@@ -130,12 +130,7 @@
 }
 
 func (m *member) restore(s replicator.Snapshot) {
-	m.applied = nil
-	if len(s.Data) > 0 {
-		for _, v := range splitValues(s.Data) {
-			m.applied = append(m.applied, v)
-		}
-	}
+	m.applied = splitValues(s.Data)
 	m.index = s.Index
 }
 
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -35,7 +35,7 @@
 	case c.Voter():
 		return c.electionAt
 	}
-	due := c.heardLeader.Add(c.Timing.ElectionMin)
+	due := c.heardLeader.Add(c.learnerPatience())
 	if c.joinAt.After(due) {
 		return c.joinAt
 	}
@@ -46,7 +46,7 @@
 	if c.role != Follower {
 		c.becomeFollower(c.term, c.leader, now)
 	}
-	quiet := now.Sub(c.heardLeader) >= c.Timing.ElectionMin
+	quiet := now.Sub(c.heardLeader) >= c.learnerPatience()
 	if !quiet || now.Before(c.joinAt) {
 		return
 	}
@@ -207,6 +207,7 @@
 	c.append(EntryNoop, nil)
 	c.newRound(now)
 	c.broadcastAll(now)
+	c.send(Message{Type: MsgHello})
 }
 
 func (c *Core) addProgress(id ReplicaID, now time.Time) *progress {
--- a/internal/state/replicator/follower.go
+++ b/internal/state/replicator/follower.go
@@ -25,6 +25,9 @@
 	case MsgJoin:
 		c.handleJoin(m, now)
 		return
+	case MsgHello:
+		c.handleHello(m, now)
+		return
 	}
 	if m.Term < c.term {
 		c.refuseStale(m)
--- a/internal/state/replicator/learner.go
+++ b/internal/state/replicator/learner.go
@@ -28,6 +28,20 @@
 	c.sendAppend(m.From, p, now, true)
 }
 
+// handleHello lets a learner join a new leader at once.
+func (c *Core) handleHello(m Message, now time.Time) {
+	if c.Voter() || m.Term < c.term {
+		return
+	}
+	c.followLeader(m, now)
+	c.send(Message{Type: MsgJoin, To: m.From, Index: c.log.last(), Durable: c.Durable})
+}
+
+// learnerPatience is the silence after which a learner looks for a leader.
+func (c *Core) learnerPatience() time.Duration {
+	return 2*c.Timing.LearnerDelay + c.Timing.ElectionMin
+}
+
 func (c *Core) dropLearners(now time.Time) {
 	for id, p := range c.progress {
 		if p.learner && now.Sub(p.heard) > c.Timing.LearnerGone {
--- a/internal/state/replicator/types.go
+++ b/internal/state/replicator/types.go
@@ -71,6 +71,7 @@
 	MsgSnapshotReply
 	MsgTimeoutNow // asks the receiver to start an election at once
 	MsgJoin       // a learner asks the leader for the log
+	MsgHello      // a new leader makes itself known to learners
 )
 
 // Message is what replicas send each other.
@@ -134,7 +135,7 @@
 	Heartbeat:    100 * time.Millisecond,
 	ElectionMin:  400 * time.Millisecond,
 	ElectionMax:  700 * time.Millisecond,
-	LearnerDelay: 250 * time.Millisecond,
+	LearnerDelay: 500 * time.Millisecond,
 	LearnerGone:  5 * time.Second,
 	ReplaceAfter: 5 * time.Second,
 }
--- /dev/null
+++ b/internal/state/storer/storer_test.go
@@ -0,0 +1,245 @@
+package storer_test
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/state/replicator"
+	"masticroad/internal/state/storer"
+)
+
+var identity = storer.Identity{Cell: "c", Group: 1, Replica: "vm1.1", Voters: []replicator.ReplicaID{"vm1.1"}}
+
+func open(c *quicktest.C, folder string) (*storer.Storer, replicator.Saved) {
+	s := &storer.Storer{Folder: folder}
+	_, saved, err := s.Open(identity)
+	c.Assert(err, quicktest.IsNil)
+	return s, saved
+}
+
+func prepare(c *quicktest.C) string {
+	folder := c.TempDir()
+	c.Assert(storer.Prepare(folder, identity), quicktest.IsNil)
+	return folder
+}
+
+func entries(from, to int, term registrar.Term) []replicator.Entry {
+	var out []replicator.Entry
+	for i := from; i <= to; i++ {
+		out = append(out, replicator.Entry{Index: registrar.Index(i), Term: term, Data: []byte(strings.Repeat("x", i))})
+	}
+	return out
+}
+
+// segment returns the only log segment of a folder.
+func segment(c *quicktest.C, folder string) string {
+	files, err := filepath.Glob(filepath.Join(folder, "LOG-*"))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(files, quicktest.HasLen, 1)
+	return files[0]
+}
+
+func TestSavedEntriesComeBack(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	s, _ := open(c, folder)
+	c.Assert(s.Save(replicator.HardState{Term: 2, Vote: "vm1.1"}, entries(1, 5, 2)), quicktest.IsNil)
+	c.Assert(s.Save(replicator.HardState{Term: 3}, entries(4, 6, 3)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	_, saved := open(c, folder)
+	c.Assert(saved.Hard, quicktest.Equals, replicator.HardState{Term: 3})
+	c.Assert(saved.Entries, quicktest.DeepEquals, append(entries(1, 3, 2), entries(4, 6, 3)...))
+}
+
+func TestSnapshotReplacesTheLog(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	s, _ := open(c, folder)
+	c.Assert(s.Save(replicator.HardState{Term: 2}, entries(1, 9, 2)), quicktest.IsNil)
+	snap := replicator.Snapshot{Index: 7, Term: 2, Voters: identity.Voters, Data: []byte("tables")}
+	c.Assert(s.SaveSnapshot(snap, replicator.HardState{Term: 2}, entries(8, 9, 2)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	_, saved := open(c, folder)
+	c.Assert(saved.Snapshot, quicktest.DeepEquals, snap)
+	c.Assert(saved.Entries, quicktest.DeepEquals, entries(8, 9, 2))
+}
+
+// A write that was torn at any byte loses only itself.
+func TestTornTailIsCut(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	s, _ := open(c, folder)
+	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 3, 1)), quicktest.IsNil)
+	path := segment(c, folder)
+	whole, err := os.ReadFile(path)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(4, 4, 1)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	longer, err := os.ReadFile(path)
+	c.Assert(err, quicktest.IsNil)
+	for size := len(whole); size < len(longer); size++ {
+		torn := c.TempDir()
+		copyFolder(c, folder, torn)
+		c.Assert(os.WriteFile(filepath.Join(torn, filepath.Base(path)), longer[:size], 0o600), quicktest.IsNil)
+		s, saved := open(c, torn)
+		c.Assert(saved.Entries, quicktest.DeepEquals, entries(1, 3, 1))
+		c.Assert(s.Close(), quicktest.IsNil)
+	}
+}
+
+func copyFolder(c *quicktest.C, from, to string) {
+	files, err := os.ReadDir(from)
+	c.Assert(err, quicktest.IsNil)
+	for _, f := range files {
+		data, err := os.ReadFile(filepath.Join(from, f.Name()))
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(os.WriteFile(filepath.Join(to, f.Name()), data, 0o600), quicktest.IsNil)
+	}
+}
+
+// Damage to data that was synced stops the daemon, with file and offset.
+func TestDamageBeforeTheTailIsAnError(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	s, _ := open(c, folder)
+	path := segment(c, folder)
+	first, err := os.ReadFile(path)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 3, 1)), quicktest.IsNil)
+	middle, err := os.ReadFile(path)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(4, 6, 1)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	data, err := os.ReadFile(path)
+	c.Assert(err, quicktest.IsNil)
+	for at := len(first); at < len(middle); at++ {
+		damaged := c.TempDir()
+		copyFolder(c, folder, damaged)
+		bad := append([]byte(nil), data...)
+		bad[at] ^= 0x10
+		c.Assert(os.WriteFile(filepath.Join(damaged, filepath.Base(path)), bad, 0o600), quicktest.IsNil)
+		_, _, err := (&storer.Storer{Folder: damaged}).Open(identity)
+		var damage *storer.DamageError
+		c.Assert(errors.As(err, &damage), quicktest.IsTrue, quicktest.Commentf("byte %d: %v", at, err))
+		c.Assert(damage.Offset, quicktest.Equals, int64(len(first)))
+	}
+}
+
+func TestDamagedFirstFrameIsAnErrorOnceAnOlderSegmentIsGone(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	s, _ := open(c, folder)
+	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 3, 1)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	s, _ = open(c, folder) // starts segment 2 with all entries in its first frame
+	c.Assert(s.Close(), quicktest.IsNil)
+	path := segment(c, folder)
+	data, err := os.ReadFile(path)
+	c.Assert(err, quicktest.IsNil)
+	data[len(data)-1] ^= 1
+	c.Assert(os.WriteFile(path, data, 0o600), quicktest.IsNil)
+	_, _, err = (&storer.Storer{Folder: folder}).Open(identity)
+	var damage *storer.DamageError
+	c.Assert(errors.As(err, &damage), quicktest.IsTrue)
+}
+
+func TestFolderOfAnotherCellIsRefused(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	for _, other := range []storer.Identity{
+		{Cell: "other", Group: 1, Replica: "vm1.1"}, {Cell: "c", Group: 2, Replica: "vm1.1"}, {Cell: "c", Group: 1, Replica: "vm2.1"},
+	} {
+		s := &storer.Storer{Folder: folder}
+		_, _, err := s.Open(other)
+		var mismatch *storer.IdentityError
+		c.Assert(errors.As(err, &mismatch), quicktest.IsTrue)
+		c.Assert(s.Close(), quicktest.IsNil)
+	}
+}
+
+func TestFolderIsLocked(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	open(c, folder)
+	_, _, err := (&storer.Storer{Folder: folder}).Open(identity)
+	c.Assert(err, quicktest.ErrorMatches, ".*in use by another process")
+}
+
+// faultyFile fails to write or to sync from a given call on.
+type faultyFile struct {
+	storer.File
+	writes, syncs int // calls left before the fault; negative: never
+}
+
+var errFull = errors.New("no space left on device")
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if f.writes == 0 {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, errFull
+	}
+	f.writes--
+	return f.File.Write(p)
+}
+
+func (f *faultyFile) Sync() error {
+	if f.syncs == 0 {
+		return errFull
+	}
+	f.syncs--
+	return f.File.Sync()
+}
+
+func TestFullDiskAndFailedSyncStopTheStorage(t *testing.T) {
+	for name, fault := range map[string]faultyFile{"full disk": {writes: 2, syncs: -1}, "failed sync": {writes: -1, syncs: 2}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			folder := prepare(c)
+			s := &storer.Storer{Folder: folder, Create: func(path string) (storer.File, error) {
+				f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
+				faulty := fault
+				faulty.File = f
+				return &faulty, err
+			}}
+			_, _, err := s.Open(identity)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 2, 1)), quicktest.IsNil)
+			err = s.Save(replicator.HardState{Term: 1}, entries(3, 3, 1))
+			c.Assert(err, quicktest.ErrorMatches, ".*LOG-.*no space left on device")
+			c.Assert(s.Save(replicator.HardState{Term: 1}, entries(4, 4, 1)), quicktest.Equals, err) // and stays so
+			c.Assert(s.Close(), quicktest.IsNil)
+			_, saved := open(c, folder)
+			c.Assert(len(saved.Entries) >= 2, quicktest.IsTrue) // what was acknowledged is there
+		})
+	}
+}
+
+func FuzzOpen(f *testing.F) {
+	f.Add([]byte{}, 0)
+	f.Add([]byte{0x4c, 0x54, 0x53, 0x4d, 1, 0, 0, 0}, 10)
+	f.Fuzz(func(t *testing.T, noise []byte, at int) {
+		c := quicktest.New(t)
+		folder := prepare(c)
+		s, _ := open(c, folder)
+		c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 3, 1)), quicktest.IsNil)
+		c.Assert(s.Close(), quicktest.IsNil)
+		path := segment(c, folder)
+		data, err := os.ReadFile(path)
+		c.Assert(err, quicktest.IsNil)
+		at = max(at, -at)
+		for i, b := range noise {
+			data[(at%len(data)+i)%len(data)] ^= b
+		}
+		c.Assert(os.WriteFile(path, data, 0o600), quicktest.IsNil)
+		_, saved, err := (&storer.Storer{Folder: folder}).Open(identity)
+		if err == nil && len(saved.Entries) > 0 {
+			c.Assert(saved.Entries, quicktest.DeepEquals, entries(1, len(saved.Entries), 1))
+		}
+	})
+}
--- a/test/scenarios/cell_test.go
+++ b/test/scenarios/cell_test.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -53,7 +52,6 @@
 	load     *load
 	extra    string
 	interval time.Duration
-	mu       sync.Mutex
 }
 
 func newCell(dir, program string, daemons, voters int) (*cell, error) {
--- a/test/scenarios/load_test.go
+++ b/test/scenarios/load_test.go
@@ -182,9 +182,9 @@
 		case r.outcome == "":
 			problems = append(problems, fmt.Sprintf("%s has no outcome after a minute", r.key))
 		case r.outcome == "NotRun" && n > 0:
-			problems = append(problems, fmt.Sprintf("%s was NotRun but started %d times", r.key, n))
+			problems = append(problems, fmt.Sprintf("%s was NotRun but started: %s", r.key, l.cell.history.Trace(r.body)))
 		case r.once && n > 1:
-			problems = append(problems, fmt.Sprintf("%s is not repeatable but started %d times", r.key, n))
+			problems = append(problems, fmt.Sprintf("%s is not repeatable but started: %s", r.key, l.cell.history.Trace(r.body)))
 		case !r.once && r.outcome != "Done":
 			problems = append(problems, fmt.Sprintf("%s ended as %s", r.key, r.outcome))
 		case r.outcome == "Done" && n == 0:
