Start an attempt once, also when a new leader sends it again

Cause: a scenario under the race detector saw a request that is not repeatable start twice, same task and attempt, 570 ms apart. A daemon's hello to a new leader carried the report of the finished attempt; the leader answered with both the assignment and its settlement; the daemon took the settlement first, forgot the report and started again. Ruled out: a second task, a lost log entry, a repeat by the HTTP library. Change: a leader leaves out what the hello reports; a daemon knows each assignment for a minute after it came; a daemon without a lease no longer calls a refusal NotRun, since the same key may run by another daemon.

--- /dev/null
+++ b/internal/control/decider/cost_test.go
@@ -0,0 +1,52 @@
+package decider_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+)
+
+// BenchmarkRound measures one round that admits and places one urgent request
+// while others wait, at several numbers of targets and waiting tasks.
+func BenchmarkRound(b *testing.B) {
+	for _, targets := range []int{50, 200, 580} {
+		for _, queued := range []int{10, 1000, 10000} {
+			b.Run(fmt.Sprintf("targets=%d/queued=%d", targets, queued), func(b *testing.B) { benchmarkRound(b, targets, queued) })
+		}
+	}
+}
+
+func benchmarkRound(b *testing.B, targets, queued int) {
+	w := newWorld(b, 0)
+	w.caller(registrar.Caller{Name: "batch"})
+	w.caller(registrar.Caller{Name: "tills"})
+	for i := range targets {
+		w.target(fmt.Sprintf("t%03d", i), "a", fmt.Sprint("r", i/8), large, 8)
+	}
+	for range queued { // too large for what is left beside the batches
+		w.admit(decider.Admit{Caller: "batch", Class: registrar.Batch, Need: registrar.Need{CPU: 12000, Memory: 1024}})
+	}
+	for range targets/64 + 4 {
+		w.run(0)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		key := registrar.Key(fmt.Sprintf("u%d", i))
+		in := []decider.Input{{Daemon: "vm1", Life: 1, Up: &decider.Upstream{Admits: []decider.Admit{{Caller: "tills", Key: key, Need: registrar.Need{CPU: 100, Memory: 64}}}}}}
+		round := w.d.Decide(in, nil, w.now.Add(time.Second), w.now)
+		b.StopTimer()
+		w.commit(round)
+		for _, m := range round.Down {
+			for _, a := range m.Assignments { // ends at once, so that the load stays
+				w.inputs = nil
+				done := w.d.Decide([]decider.Input{{Daemon: "vm1", Life: 1, Up: &decider.Upstream{Reports: []decider.Report{{Task: a.Task, Attempt: a.Attempt, Result: decider.ResultDone}}}}}, nil, w.now, w.now)
+				w.commit(done)
+			}
+		}
+		b.StartTimer()
+	}
+}
--- a/internal/control/decider/promises_test.go
+++ b/internal/control/decider/promises_test.go
@@ -213,6 +213,26 @@
 	c.Assert(f.running, quicktest.HasLen, 1)
 }
 
+// A daemon that begins a session with a report of an attempt is not told to
+// start that attempt again.
+func TestReportInTheHelloEndsTheAssignment(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(t, 0)
+	w.caller(registrar.Caller{Name: "shop"})
+	w.target("t1", "a", "r", large, 8)
+	key := w.admit(decider.Admit{Caller: "shop", Once: true})
+	running := w.admit(decider.Admit{Caller: "shop"})
+	w.run(0)
+	w.d.Begin(2, w.now)
+	round := w.d.Decide([]decider.Input{{Daemon: "vm1", Life: 1, Up: &decider.Upstream{
+		Hello:   &registrar.Daemon{Name: "vm1", Life: 1},
+		Reports: []decider.Report{{Task: w.task(key).ID, Attempt: 1, Result: decider.ResultDone}},
+	}}}, nil, w.now.Add(time.Second), w.now)
+	c.Assert(round.Down["vm1"].Assignments, quicktest.HasLen, 1)
+	c.Assert(round.Down["vm1"].Assignments[0].Task, quicktest.Equals, w.task(running).ID)
+	c.Assert(round.Down["vm1"].Settled, quicktest.HasLen, 1)
+}
+
 func TestNoLeaseIsGrantedWithoutTheLeadersOwn(t *testing.T) {
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
--- a/internal/control/decider/sessions.go
+++ b/internal/control/decider/sessions.go
@@ -44,6 +44,9 @@
 	}
 	s.leaving = s.leaving || up.Leaving
 	d.takeBatch(s, up, leaderUntil, now)
+	if up.Hello != nil {
+		d.sendAssigned(s)
+	}
 }
 
 func (d *Decider) takeBatch(s *session, up *Upstream, leaderUntil, now time.Time) {
@@ -71,8 +74,7 @@
 	}
 }
 
-// takeHello begins a session. The assignments of the daemon's life are sent
-// again, since the messages of an earlier connection may be lost.
+// takeHello begins a session.
 func (d *Decider) takeHello(h registrar.Daemon, now time.Time) {
 	old := d.State.Daemons[h.Name]
 	if old != nil && h.Life < old.Life {
@@ -82,8 +84,18 @@
 		d.emit(registrar.DaemonSeen{Daemon: h})
 	}
 	d.sessions[h.Name] = &session{daemon: h, connected: true}
-	for _, t := range d.assignedTo(h.Name, h.Life) {
-		m := d.down(h.Name)
+}
+
+// sendAssigned sends the assignments of a daemon's life again, since the
+// messages of an earlier connection may be lost. Those that the daemon has just
+// reported are left out.
+func (d *Decider) sendAssigned(s *session) {
+	name := s.daemon.Name
+	for _, t := range d.assignedTo(name, s.daemon.Life) {
+		if d.round.touched[t.ID] {
+			continue
+		}
+		m := d.down(name)
 		m.Assignments = append(m.Assignments, d.assignment(t, t.Attempt, t.Target, t.Since))
 	}
 }
--- a/internal/daemon/gateway/dispatch.go
+++ b/internal/daemon/gateway/dispatch.go
@@ -46,12 +46,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	id := decider.TaskAttempt{Task: a.Task, Attempt: a.Attempt}
-	if g.attempts[id] != nil {
+	if _, seen := g.seen[id]; seen {
 		return // sent again after a new connection
 	}
-	if _, reported := g.reports[id]; reported {
-		return
-	}
+	g.seen[id] = g.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	at := &attempt{assignment: *a, began: g.Now(), cancel: cancel}
 	g.attempts[id] = at
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -53,6 +53,7 @@
 	wake     chan struct{}
 	pending  map[registrar.RequestKey]*pending
 	attempts map[decider.TaskAttempt]*attempt
+	seen     map[decider.TaskAttempt]time.Time // assignments, for seenTime
 	reports  map[decider.TaskAttempt]decider.Report
 	settled  map[decider.TaskAttempt]chan struct{}
 	announce map[announceKey]chan decider.TargetReply
@@ -89,6 +90,7 @@
 	g.wake = make(chan struct{}, 1)
 	g.pending = make(map[registrar.RequestKey]*pending)
 	g.attempts = make(map[decider.TaskAttempt]*attempt)
+	g.seen = make(map[decider.TaskAttempt]time.Time)
 	g.reports = make(map[decider.TaskAttempt]decider.Report)
 	g.settled = make(map[decider.TaskAttempt]chan struct{})
 	g.announce = make(map[announceKey]chan decider.TargetReply)
@@ -208,10 +210,25 @@
 	}
 }
 
+// forgetSeen forgets assignments that no leader can send again: their reports
+// are committed. The mutex is held.
+func (g *Gateway) forgetSeen(now time.Time) {
+	for id, at := range g.seen {
+		_, reported := g.reports[id]
+		if now.Sub(at) >= seenTime && g.attempts[id] == nil && !reported {
+			delete(g.seen, id)
+		}
+	}
+}
+
+// seenTime is the least time for which an assignment is known after it came.
+const seenTime = time.Minute
+
 func (g *Gateway) sweepOnce(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.answers.expire(now)
+	g.forgetSeen(now)
 	for key, p := range g.pending {
 		if p.waiters == 0 && !p.started && now.Sub(p.leftAt) >= callerGrace {
 			g.out.Cancels = append(g.out.Cancels, decider.Cancel{Caller: key.Caller, Key: key.Key})
--- /dev/null
+++ b/internal/daemon/gateway/gateway_test.go
@@ -0,0 +1,216 @@
+package gateway_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/controller"
+	"masticroad/internal/daemon/gateway"
+	"masticroad/internal/load/imitator"
+	"masticroad/internal/peer/replica"
+	"masticroad/internal/peer/target"
+	"masticroad/internal/state/replicator"
+)
+
+// fakeLeader answers a daemon's session as a test tells it to.
+type fakeLeader struct {
+	mu       sync.Mutex
+	stream   replica.SessionStream
+	up       []*decider.Upstream
+	grants   bool
+	sessions int
+	answer   func(l *fakeLeader, up *decider.Upstream)
+}
+
+func (l *fakeLeader) Receive([]replicator.Message) {}
+
+func (l *fakeLeader) Call(context.Context, *replica.Call) (*replica.CallReply, error) {
+	return &replica.CallReply{NotLeader: true}, nil
+}
+
+func (l *fakeLeader) Answer(context.Context, *replica.AnswerQuery) (*replica.AnswerReply, error) {
+	return &replica.AnswerReply{}, nil
+}
+
+func (l *fakeLeader) Session(_ context.Context, s replica.SessionStream) error {
+	l.mu.Lock()
+	l.stream = s
+	l.sessions++
+	l.mu.Unlock()
+	for {
+		up, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		l.mu.Lock()
+		l.up = append(l.up, up)
+		if up.Renewal != nil {
+			grant := &decider.Grant{Seq: up.Renewal.Seq, Term: 1}
+			if l.grants {
+				grant.Duration = 2 * time.Second
+			}
+			_ = s.Send(&decider.Downstream{Grant: grant})
+		}
+		l.answer(l, up)
+		l.mu.Unlock()
+	}
+}
+
+type bench struct {
+	*quicktest.C
+	leader  *fakeLeader
+	gate    *gateway.Gateway
+	worker  *imitator.Target
+	history *imitator.History
+	view    controller.View
+}
+
+func start(t *testing.T, answer func(b *bench, l *fakeLeader, up *decider.Upstream)) *bench {
+	c := quicktest.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	b := &bench{C: c, history: imitator.NewHistory()}
+	b.leader = &fakeLeader{grants: true, answer: func(l *fakeLeader, up *decider.Upstream) { answer(b, l, up) }}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	go func() {
+		server := &replica.Server{Handler: b.leader, Listener: listener, Traffic: &replica.Traffic{}}
+		_ = server.Run(ctx) // ends with the test
+	}()
+	b.worker = &imitator.Target{Name: "t1", Capacity: registrar.Need{CPU: 16000, Memory: 32768}, Slots: 8, History: b.history, Now: time.Now}
+	c.Assert(b.worker.Listen(), quicktest.IsNil)
+	go b.worker.Run(ctx)
+	b.view = controller.View{
+		Callers: map[registrar.CallerName]*registrar.Caller{"shop": {Name: "shop"}},
+		Targets: map[registrar.TargetName]*registrar.Target{"t1": {Name: "t1", Address: b.worker.Address()}},
+	}
+	client := &replica.Client{Traffic: &replica.Traffic{}}
+	client.Open()
+	targets := &target.Client{MaxConns: 8, MaxAnswer: 1 << 20, Transit: time.Second}
+	targets.Open()
+	b.gate = &gateway.Gateway{
+		Daemon: registrar.Daemon{Name: "vm1", Life: 1}, Client: client, Targets: targets, Log: hclog.NewNullLogger(), Now: time.Now,
+		View:   func() *controller.View { return &b.view },
+		Leader: func() string { return listener.Addr().String() },
+		Term:   func() registrar.Term { return 1 },
+	}
+	b.gate.Open()
+	go b.gate.Run(ctx)
+	for end := time.Now().Add(20 * time.Second); !b.gate.Leased() && b.leader.grants && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	return b
+}
+
+// assign answers each admission with an assignment of task 1, attempt 1.
+func assign(up *decider.Upstream, startBy time.Time) *decider.Downstream {
+	down := &decider.Downstream{}
+	for _, a := range up.Admits {
+		down.Assignments = append(down.Assignments, decider.Assignment{
+			Task: 1, Attempt: 1, Target: "t1", Caller: a.Caller, Key: a.Key, Need: a.Need, Term: 1, Once: a.Once,
+			StartBy: registrar.MillisOf(startBy),
+		})
+	}
+	return down
+}
+
+func (b *bench) request(once bool) gateway.Result {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return b.gate.Handle(ctx, &gateway.Request{
+		Admit: decider.Admit{Caller: "shop", Key: "k", Need: registrar.Need{CPU: 1}, Once: once}, Body: []byte(`{"Item":1}`),
+	})
+}
+
+// An assignment that comes again with the settlement of its report, as after a
+// change of leader, is not started again.
+func TestAssignmentThatComesAgainIsNotStarted(t *testing.T) {
+	b := start(t, func(_ *bench, l *fakeLeader, up *decider.Upstream) {
+		_ = l.stream.Send(assign(up, time.Now().Add(time.Minute)))
+		for _, r := range up.Reports {
+			again := assign(&decider.Upstream{Admits: []decider.Admit{{Caller: "shop", Key: "k", Once: true}}}, time.Now().Add(time.Minute))
+			again.Settled = []decider.TaskAttempt{{Task: r.Task, Attempt: r.Attempt}}
+			_ = l.stream.Send(again)
+		}
+	})
+	r := b.request(true)
+	b.Assert(r.Outcome, quicktest.Equals, registrar.Done)
+	time.Sleep(300 * time.Millisecond)
+	b.Assert(b.history.Starts(1), quicktest.HasLen, 1)
+}
+
+// Once the lease is over nothing is started, and the leader is told so.
+func TestNothingIsStartedWithoutALease(t *testing.T) {
+	starts := func(without bool) int {
+		b := start(t, func(b *bench, l *fakeLeader, up *decider.Upstream) {
+			if len(up.Admits) > 0 {
+				l.grants = false
+				go func() {
+					time.Sleep(3 * time.Second) // longer than the lease
+					_ = l.stream.Send(assign(up, time.Now().Add(time.Minute)))
+				}()
+			}
+		})
+		b.gate.WithoutLeaseCheck = without
+		go b.request(false)
+		time.Sleep(4 * time.Second)
+		return len(b.history.Starts(1))
+	}
+	quicktest.Assert(t, starts(false), quicktest.Equals, 0)
+	quicktest.Assert(t, starts(true), quicktest.Equals, 1)
+}
+
+func TestNothingIsStartedAfterItsWindow(t *testing.T) {
+	b := start(t, func(_ *bench, l *fakeLeader, up *decider.Upstream) {
+		if len(up.Admits) > 0 {
+			_ = l.stream.Send(assign(up, time.Now().Add(-time.Millisecond)))
+		}
+	})
+	go b.request(false)
+	time.Sleep(500 * time.Millisecond)
+	b.Assert(b.history.Starts(1), quicktest.HasLen, 0)
+}
+
+// A request that is refused here may run elsewhere, so the refusal is not
+// called NotRun.
+func TestRefusalWithoutALeaseIsNoOutcome(t *testing.T) {
+	b := start(t, func(_ *bench, l *fakeLeader, _ *decider.Upstream) { l.grants = false })
+	for end := time.Now().Add(20 * time.Second); b.gate.Leased() && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	r := b.request(false)
+	b.Assert(r.Unavailable, quicktest.IsTrue)
+	b.Assert(r.Outcome, quicktest.Equals, registrar.NoOutcome)
+}
+
+// The answer of a request that is not repeatable is given only when its outcome
+// is committed.
+func TestOnceIsAnsweredAfterItsCommit(t *testing.T) {
+	committed := make(chan struct{})
+	b := start(t, func(_ *bench, l *fakeLeader, up *decider.Upstream) {
+		_ = l.stream.Send(assign(up, time.Now().Add(time.Minute)))
+		for _, r := range up.Reports {
+			go func() {
+				<-committed
+				_ = l.stream.Send(&decider.Downstream{Settled: []decider.TaskAttempt{{Task: r.Task, Attempt: r.Attempt}}})
+			}()
+		}
+	})
+	answered := make(chan gateway.Result, 1)
+	go func() { answered <- b.request(true) }()
+	select {
+	case r := <-answered:
+		t.Fatalf("answered before the commit: %+v", r)
+	case <-time.After(500 * time.Millisecond):
+	}
+	close(committed)
+	b.Assert((<-answered).Outcome, quicktest.Equals, registrar.Done)
+}
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -34,6 +34,9 @@
 	Retired    bool
 	Pending    bool // no outcome yet
 	Lost       bool // done, but the answer is held nowhere
+	// Unavailable tells that this daemon can't say anything about the request:
+	// one with the same key may run by another daemon.
+	Unavailable bool
 }
 
 type pending struct {
@@ -84,7 +87,7 @@
 		return nil, &result
 	}
 	if g.closed || !g.leased() {
-		return nil, &Result{Outcome: registrar.NotRun, Reason: "this daemon takes no new work now", RetryAfter: time.Second}
+		return nil, &Result{Unavailable: true, Reason: "this daemon takes no new work now", RetryAfter: time.Second}
 	}
 	p := &pending{request: r, arrived: g.Now(), done: make(chan struct{}), waiters: 1}
 	g.pending[key] = p
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -119,7 +119,7 @@
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	default:
-		writeResult(ctx, "", gateway.Result{Outcome: registrar.NotRun, Reason: "this daemon holds too many requests", RetryAfter: time.Second})
+		writeResult(ctx, "", gateway.Result{Unavailable: true, Reason: "this daemon holds too many requests", RetryAfter: time.Second})
 		return
 	}
 	data, ok := s.readBody(ctx)
@@ -257,6 +257,8 @@
 		return http.StatusConflict
 	case r.Retired:
 		return http.StatusForbidden
+	case r.Unavailable:
+		return http.StatusServiceUnavailable
 	case r.Pending:
 		return http.StatusAccepted
 	case r.Lost:
