Show queues, packing, leases and bytes by peer in the metrics

Change: gauges from the leader, bytes by peer, waits of jobs' tasks; answers sent twice as a fault of the stand-in; fewer idle connections to a target (4 a daemon), so that seven daemons stay below its 64; tests for overuse.

--- a/internal/control/decider/explain.go
+++ b/internal/control/decider/explain.go
@@ -17,6 +17,38 @@
 
 func hexChain(c registrar.Chain) string { return hex.EncodeToString(c[:]) }
 
+// Load describes queues and targets, for metrics.
+type Load struct {
+	Queued      [registrar.ClassCount]int
+	Packing     float64 // charged share of the scarcest resource
+	Targets     int
+	Quarantined int
+	Daemons     int
+}
+
+// Load returns the present load.
+func (d *Decider) Load(now time.Time) Load {
+	var l Load
+	for class := range l.Queued {
+		l.Queued[class] = d.queue.LenClass(registrar.Class(class))
+	}
+	var used registrar.Need
+	for _, p := range d.order {
+		used = used.Plus(p.Capacity.Minus(p.Free))
+		l.Targets++
+		if d.State.Targets[p.Name].Quarantine > 0 {
+			l.Quarantined++
+		}
+	}
+	l.Packing = used.DominantShare(d.total)
+	for name := range d.State.Daemons {
+		if d.daemonLeases.Held(name, now) {
+			l.Daemons++
+		}
+	}
+	return l
+}
+
 // Explain describes the situation of a task.
 func (d *Decider) Explain(id registrar.TaskID, now time.Time) []string {
 	t := d.State.Tasks[id]
--- a/internal/control/decider/policies_test.go
+++ b/internal/control/decider/policies_test.go
@@ -326,6 +326,23 @@
 	c.Assert(charge >= 1800, quicktest.IsTrue)
 }
 
+// A task that uses more than it is charged is throttled, and one that uses more
+// than twice as much is checkpointed and moved.
+func TestOveruseIsThrottledThenMoved(t *testing.T) {
+	for usage, verb := range map[float64]decider.Verb{1.5: decider.VerbThrottle, 3: decider.VerbCheckpoint} {
+		c := quicktest.New(t)
+		w := newWorld(t, 0)
+		w.auto = false
+		w.caller(registrar.Caller{Name: "shop"})
+		f := w.target("t1", "a", "r", large, 8)
+		f.usage = usage
+		w.change(registrar.Op{PutJob: &registrar.Job{Name: "job", Caller: "shop", Kind: registrar.Batches, Class: registrar.Batch, Count: 1, Need: small}})
+		w.pass(2 * time.Second)
+		c.Assert(len(w.orders) > 0, quicktest.IsTrue)
+		c.Assert(w.orders[0].Verb, quicktest.Equals, verb)
+	}
+}
+
 func TestServiceReplicasSpreadOverZonesAndRacks(t *testing.T) {
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
--- a/internal/control/registrar/registrar_test.go
+++ b/internal/control/registrar/registrar_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math/rand"
+	"runtime"
 	"testing"
 	"time"
 
@@ -157,3 +159,79 @@
 		}
 	}
 }
+
+// BenchmarkSnapshot measures a snapshot by the number of ended tasks that it
+// holds: a week of 3,300 jobs a day is 23,100.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, n := range []int{2100, 8400, 25200} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			s := filled(b, n)
+			b.ReportAllocs()
+			size := 0
+			for b.Loop() {
+				data, err := s.Freeze().Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size)/float64(n), "B/task")
+		})
+	}
+}
+
+// BenchmarkRestore measures the start of a daemon from a snapshot.
+func BenchmarkRestore(b *testing.B) {
+	for _, n := range []int{2100, 8400, 25200} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			data, err := filled(b, n).Freeze().Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				s := registrar.New()
+				if err := s.Restore(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMemory measures the heap that tasks take.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{2100, 8400, 25200} {
+		b.Run(fmt.Sprintf("tasks=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := filled(b, n)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n), "heap-B/task")
+		})
+	}
+}
+
+func filled(b *testing.B, n int) *registrar.State {
+	s := registrar.New()
+	for i := range n {
+		task := registrar.Task{
+			ID: registrar.TaskID(i + 1), Caller: "tills", Key: registrar.Key(fmt.Sprintf("quote-2026-12-04-%d", i)), Class: registrar.Batch,
+			Job: "overnight", Kind: registrar.Batches, Ordinal: i, Need: registrar.Need{CPU: 2000, Memory: 2048}, Target: "t-001", Daemon: "vm1",
+			State: registrar.Assigned, Attempt: 1,
+		}
+		events := []registrar.Event{registrar.TaskAdmitted{Task: task}, registrar.TaskEnded{ID: task.ID, Attempt: 1, Outcome: registrar.Done}}
+		data, err := registrar.Entry{At: registrar.Millis(1e12), Events: events}.Encode()
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := s.Apply(registrar.Index(i+1), data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return s
+}
--- a/internal/daemon/controller/controller.go
+++ b/internal/daemon/controller/controller.go
@@ -38,9 +38,9 @@
 	MaxBytes   int
 	// Changed, when set, is called after a new view was published.
 	Changed func()
-	// Observe, when set, is called on the control goroutine with each round's
-	// committed events and each new view.
-	Observe func(events []registrar.Event, at registrar.Millis)
+	// Observe, when set, is told by the leader about the start of each task of a
+	// job and how long it waited.
+	Observe func(caller registrar.CallerName, class registrar.Class, wait time.Duration)
 
 	ctx      context.Context // of Run
 	state    *registrar.State
@@ -62,6 +62,8 @@
 	reads     map[replicator.ReadID]*query
 	nextRead  replicator.ReadID
 	dirty     bool
+	load      atomic.Pointer[decider.Load]
+	loadAt    time.Time
 	compacted chan struct{}
 	roundAt   time.Time
 	wake      chan struct{}
@@ -119,6 +121,7 @@
 			return err
 		}
 		c.setTick(tick)
+		c.noteLoad(c.Now())
 	}
 }
 
@@ -205,13 +208,11 @@
 	if err != nil {
 		return errors.Annotatef(err, "control: entry %d", e.Index)
 	}
-	if c.Observe != nil {
-		c.Observe(entry.Events, entry.At)
-	}
 	if c.inflight != nil && c.leading && e.Term == c.term {
 		round := c.inflight
 		c.inflight = nil
 		c.Decider.Committed(entry.Events, c.Now())
+		c.observe(entry)
 		c.release(round)
 		if changesConfiguration(entry.Events) {
 			c.Node.Hurry(c.ctx)
@@ -220,6 +221,47 @@
 	return nil
 }
 
+// observe tells how long the tasks of jobs waited for their start.
+func (c *Controller) observe(entry registrar.Entry) {
+	if c.Observe == nil {
+		return
+	}
+	for _, ev := range entry.Events {
+		a, ok := ev.(registrar.TaskAssigned)
+		if !ok {
+			continue
+		}
+		if t := c.state.Tasks[a.ID]; t != nil && t.Kind != registrar.Request {
+			c.Observe(t.Caller, t.Class, time.Duration(entry.At-t.Submitted)*time.Millisecond)
+		}
+	}
+}
+
+// Load returns what the decider last told about queues and targets; it is empty
+// on a daemon that does not lead.
+func (c *Controller) Load() decider.Load {
+	if l := c.load.Load(); l != nil {
+		return *l
+	}
+	return decider.Load{}
+}
+
+// noteLoad publishes the decider's load from time to time.
+func (c *Controller) noteLoad(now time.Time) {
+	if now.Sub(c.loadAt) < loadInterval {
+		return
+	}
+	c.loadAt = now
+	l := decider.Load{}
+	if c.leading {
+		l = c.Decider.Load(now)
+	}
+	c.load.Store(&l)
+}
+
+// loadInterval is the time between two looks at queues and targets.
+const loadInterval = time.Second
+
 // changesConfiguration reports whether operators wait until every daemon has
 // applied the events.
 func changesConfiguration(events []registrar.Event) bool {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -218,6 +218,7 @@
 		Node: r.node, Decider: d, Log: r.Log.Named("control"), Now: r.Now,
 		MaxEntries: s.SnapshotEntries, MaxBytes: s.SnapshotBytes,
 		Changed: func() { r.gate.Wake() },
+		Observe: r.metrics.ObserveJob,
 	}
 	r.control.Open()
 }
@@ -363,8 +364,23 @@
 	}
 }
 
+// gauges adds the metrics that are read when they are asked for. Those of the
+// leader's decisions are 0 on other daemons.
 func (r *Runner) gauges() {
 	m := r.metrics
+	for class := range registrar.ClassCount {
+		m.LabeledGauge("queue_length", "Waiting work by class, at the leader.", map[string]string{"class": registrar.Class(class).String()},
+			func() float64 { return float64(r.control.Load().Queued[class]) })
+	}
+	m.Gauge("packing_ratio", "Share of the scarcest resource that is charged, at the leader.", func() float64 { return r.control.Load().Packing })
+	m.Gauge("targets_alive", "Targets that hold a lease, at the leader.", func() float64 { return float64(r.control.Load().Targets) })
+	m.Gauge("targets_quarantined", "Targets in quarantine, at the leader.", func() float64 { return float64(r.control.Load().Quarantined) })
+	m.Gauge("daemons_leased", "Daemons that hold a lease, at the leader.", func() float64 { return float64(r.control.Load().Daemons) })
+	for _, p := range append(r.client.Peers, replica.Peer{Name: replica.Incoming}) {
+		t := r.traffic.Of(p.Name)
+		m.Counter("peer_bytes_total", "Bytes between daemons by peer.", map[string]string{"direction": "sent", "peer": string(p.Name)}, func() float64 { return float64(t.Sent.Load()) })
+		m.Counter("peer_bytes_total", "Bytes between daemons by peer.", map[string]string{"direction": "received", "peer": string(p.Name)}, func() float64 { return float64(t.Received.Load()) })
+	}
 	m.Gauge("leader", "1 while this daemon leads.", func() float64 {
 		if r.node.Status().Role == replicator.Leader {
 			return 1
--- a/internal/load/imitator/imitator.go
+++ b/internal/load/imitator/imitator.go
@@ -27,6 +27,7 @@
 	LoseAnswers bool          // the connection is cut in place of an answer
 	Truncate    bool          // half of the answer is sent
 	Mislabel    bool          // the answer names another task
+	Duplicate   bool          // the answer is sent twice on the connection
 	FailAll     bool          // every task fails at once
 	ForgetStart bool          // a start is acknowledged, then lost
 	Silent      bool          // connections are taken and never answered
@@ -318,6 +319,10 @@
 	if f.Mislabel {
 		ref.Task++
 	}
+	if f.Duplicate {
+		t.answerTwice(w, ref, body)
+		return
+	}
 	t.label(w, ref, body)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(st.Status)
@@ -329,6 +334,22 @@
 	_, _ = w.Write(body) // the daemon asks again
 }
 
+// answerTwice sends the same answer twice on one connection, which then stays
+// open.
+func (t *Target) answerTwice(w http.ResponseWriter, ref target.AttemptRef, body []byte) {
+	h, ok := w.(http.Hijacker)
+	if !ok {
+		return
+	}
+	c, _, err := h.Hijack()
+	if err != nil {
+		return
+	}
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%s: %d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		target.HeaderTask, ref.Task, target.HeaderAttempt, ref.Attempt, target.HeaderDigest, target.DigestOf(body), len(body), body)
+	_, _ = c.Write([]byte(text + text)) // the daemon asks again
+}
+
 func (t *Target) label(w http.ResponseWriter, ref target.AttemptRef, body []byte) {
 	h := w.Header()
 	h.Set(target.HeaderTask, strconv.FormatUint(uint64(ref.Task), 10))
--- a/internal/metrics/recorder/recorder.go
+++ b/internal/metrics/recorder/recorder.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/daemon/gateway"
 )
 
@@ -54,6 +55,18 @@
 	r.outcomes.WithLabelValues(caller, class, o.Outcome.String()).Inc()
 }
 
+// ObserveJob takes in the start of a job's task.
+func (r *Recorder) ObserveJob(caller registrar.CallerName, class registrar.Class, wait time.Duration) {
+	r.wait.WithLabelValues(string(caller), class.String()).Observe(wait.Seconds())
+}
+
+// LabeledGauge adds a gauge with fixed labels whose value f returns.
+func (r *Recorder) LabeledGauge(name, help string, labels map[string]string, f func() float64) {
+	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: name, Help: help, ConstLabels: labels,
+	}, f))
+}
+
 // Gauge adds a gauge whose value f returns.
 func (r *Recorder) Gauge(name, help string, f func() float64) {
 	r.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, f))
--- a/internal/peer/replica/client.go
+++ b/internal/peer/replica/client.go
@@ -176,7 +176,7 @@
 		if err != nil || c.Traffic == nil {
 			return conn, err
 		}
-		return countingConn{conn, c.Traffic}, nil
+		return countingConn{conn, c.Traffic, c.Traffic.Of(c.nameOf(address))}, nil
 	}
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(creds),
@@ -192,6 +192,16 @@
 	)
 }
 
+// nameOf returns the peer of an address.
+func (c *Client) nameOf(address string) registrar.DaemonName {
+	for _, p := range c.Peers {
+		if p.Address == address {
+			return p.Name
+		}
+	}
+	return "Self"
+}
+
 // AddressOf returns the address of a peer, or an empty text.
 func (c *Client) AddressOf(name registrar.DaemonName) string {
 	for _, p := range c.Peers {
--- a/internal/peer/target/client.go
+++ b/internal/peer/target/client.go
@@ -26,7 +26,7 @@
 // arrive long after the cell gave it up.
 
 const (
-	idleConnsPerTarget = 16
+	idleConnsPerTarget = 4
 	idleTimeout        = 30 * time.Second
 	connectTimeout     = time.Second
 	maxStatusBody      = 8 << 20
--- a/test/cells/cells_test.go
+++ b/test/cells/cells_test.go
@@ -264,7 +264,7 @@
 // reach a caller as its own.
 func TestBrokenAnswers(t *testing.T) {
 	for name, faults := range map[string]imitator.Faults{
-		"lost": {LoseAnswers: true}, "truncated": {Truncate: true}, "mislabeled": {Mislabel: true},
+		"lost": {LoseAnswers: true}, "truncated": {Truncate: true}, "mislabeled": {Mislabel: true}, "doubled": {Duplicate: true}, "late": {Late: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -193,6 +193,8 @@
 			f.Truncate = true
 		case "mislabel":
 			f.Mislabel = true
+		case "double":
+			f.Duplicate = true
 		case "fail":
 			f.FailAll = true
 		case "forget":
