--- a/internal/cli/commander/load.go
+++ b/internal/cli/commander/load.go
@@ -20,6 +20,7 @@
 	"masticroad/internal/load/imitator"
 	"masticroad/internal/load/launcher"
 	"masticroad/internal/peer/operator"
+	"masticroad/internal/peer/target"
 )
 
 // This file holds `load`, the load and experiment tool. It starts stand-in
@@ -39,6 +40,8 @@
 	format    string
 	count     int
 	settle    time.Duration
+	sweep     []float64
+	plot      string
 }
 
 func newLoad(s *streams) *cobra.Command {
@@ -66,6 +69,8 @@
 	f.Float64Var(&o.failShare, "fail-share", 0, "share of targets that fail everything")
 	f.BoolVar(&o.loseRack, "lose-rack", false, "end the targets of one rack halfway")
 	f.DurationVar(&o.interval, "announce", time.Second, "time between announcements of a target")
+	f.Float64SliceVar(&o.sweep, "sweep", nil, "rates to run one after another, in place of --rate")
+	f.StringVar(&o.plot, "plot", "", "SVG file for waiting time against the rates of --sweep")
 	f.StringVar(&o.format, "format", "table", "table or json")
 	f.DurationVar(&o.settle, "settle", 0, "time between the declarations and the load")
 	f.IntVar(&o.count, "services", 0, "replicas of a long-running service that stay up beside the load")
@@ -94,7 +99,7 @@
 	*streams
 	o       *loadOptions
 	mix     *generator.Mix
-	gen     *generator.Generator
+	gen     atomic.Pointer[generator.Generator]
 	cell    *launcher.Cell
 	history *imitator.History
 	workers []*imitator.Target
@@ -118,27 +123,55 @@
 	r := &loadRun{streams: s, o: o, mix: mix}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	report, err := r.run(ctx)
+	reports, err := r.run(ctx)
 	if err != nil {
 		return failed(err)
 	}
-	if o.format == "json" {
+	if o.plot != "" {
+		if err := generator.Plot(o.plot, reports); err != nil {
+			return failed(err)
+		}
+	}
+	return failed(s.printReports(reports, o.format))
+}
+
+func (s *streams) printReports(reports []*generator.Report, format string) error {
+	for _, report := range reports {
+		if format != "json" {
+			if err := report.Print(s.out); err != nil {
+				return err
+			}
+			continue
+		}
 		data, err := json.MarshalIndent(report, "", "  ")
 		if err != nil {
-			return failed(err)
+			return errors.Trace(err)
 		}
 		s.printf("%s\n", data)
-		return nil
 	}
-	return failed(report.Print(s.out))
+	return nil
 }
 
-func (r *loadRun) run(ctx context.Context) (*generator.Report, error) {
-	r.gen = &generator.Generator{
-		Mix: r.mix, Rate: r.o.rate, Duration: r.o.duration, Seed: r.o.seed, Daemons: r.o.daemons,
+// newGenerator replaces the generator by one for the given rate. The stand-in
+// targets report to the newest one.
+func (r *loadRun) newGenerator(rate float64, seed int64) {
+	g := &generator.Generator{
+		Mix: r.mix, Rate: rate, Duration: r.o.duration, Seed: seed, Daemons: r.o.daemons,
 		Tokens: make(map[string]string), Drain: drainTime,
 	}
-	r.gen.Open()
+	if old := r.gen.Load(); old != nil {
+		g.Daemons, g.Tokens = old.Daemons, old.Tokens
+	}
+	g.Open()
+	r.gen.Store(g)
+}
+
+func (r *loadRun) run(ctx context.Context) ([]*generator.Report, error) {
+	rates := r.o.sweep
+	if len(rates) == 0 {
+		rates = []float64{r.o.rate}
+	}
+	r.newGenerator(rates[0], r.o.seed)
 	if len(r.o.daemons) == 0 {
 		stop, err := r.startCell(ctx)
 		if err != nil {
@@ -146,7 +179,7 @@
 		}
 		defer stop()
 	}
-	r.client = &daemonClient{address: r.gen.Daemons[0], token: os.Getenv(tokenVariable)}
+	r.client = &daemonClient{address: r.gen.Load().Daemons[0], token: os.Getenv(tokenVariable)}
 	if err := r.startTargets(ctx); err != nil {
 		return nil, err
 	}
@@ -161,7 +194,16 @@
 		return nil, errors.Trace(ctx.Err())
 	case <-time.After(r.o.settle):
 	}
-	return r.measure(ctx)
+	var reports []*generator.Report
+	for i, rate := range rates {
+		r.newGenerator(rate, r.o.seed+int64(i))
+		report, err := r.measure(ctx)
+		if err != nil {
+			return nil, err
+		}
+		reports = append(reports, report)
+	}
+	return reports, nil
 }
 
 func (r *loadRun) startCell(ctx context.Context) (func(), error) {
@@ -177,7 +219,7 @@
 	if err := r.cell.Start(ctx); err != nil {
 		return nil, err
 	}
-	r.gen.Daemons = r.cell.HTTP()
+	r.gen.Load().Daemons = r.cell.HTTP()
 	return func() {
 		_ = r.cell.Stop()
 		_ = os.RemoveAll(folder)
@@ -192,7 +234,7 @@
 		},
 		Now: time.Now,
 	}
-	if err := c.StartTargets(ctx, r.gen.Daemons, r.work); err != nil {
+	if err := c.StartTargets(ctx, r.gen.Load().Daemons, r.work); err != nil {
 		return err
 	}
 	r.history, r.workers, r.stops = c.History, c.Workers, c.WorkerStops
@@ -203,7 +245,9 @@
 	return nil
 }
 
-func (r *loadRun) work(w *imitator.Target) { w.Work = r.gen.Work }
+func (r *loadRun) work(w *imitator.Target) {
+	w.Work = func(s *target.Start) (time.Duration, []byte) { return r.gen.Load().Work(s) }
+}
 
 // declare creates the callers of the mix and sets the policies.
 func (r *loadRun) declare(ctx context.Context) error {
@@ -212,7 +256,7 @@
 		st := &r.mix.Streams[i]
 		token := "token-" + string(st.Caller)
 		sum := sha256.Sum256([]byte(token))
-		r.gen.Tokens[string(st.Caller)] = token
+		r.gen.Load().Tokens[string(st.Caller)] = token
 		c := &registrar.Caller{Name: st.Caller, Class: st.Class, TokenDigest: hex.EncodeToString(sum[:])}
 		call.Ops = append(call.Ops, registrar.Op{PutCaller: c})
 	}
@@ -251,7 +295,7 @@
 
 func (r *loadRun) measure(ctx context.Context) (*generator.Report, error) {
 	before := make(map[string]generator.Sample)
-	for _, d := range r.gen.Daemons {
+	for _, d := range r.gen.Load().Daemons {
 		before[d], _ = generator.Scrape(ctx, d) // a daemon that is down costs nothing
 	}
 	var packing generator.PackingReport
@@ -266,18 +310,18 @@
 		time.AfterFunc(r.o.duration/2, r.loseRack)
 	}
 	time.AfterFunc(r.o.duration, func() { sampling.Store(false) })
-	if err := r.gen.Run(ctx); err != nil {
+	if err := r.gen.Load().Run(ctx); err != nil {
 		return nil, err
 	}
 	<-sampled
-	report := r.gen.Report()
+	report := r.gen.Load().Report()
 	report.Packing = packing
 	report.Policies = r.o.policies
 	report.Violations = r.history.Violations()
 	if r.cell != nil {
 		return report, nil
 	}
-	for _, d := range r.gen.Daemons {
+	for _, d := range r.gen.Load().Daemons {
 		after, err := generator.Scrape(ctx, d)
 		if err != nil {
 			continue
--- a/internal/control/decider/decider.go
+++ b/internal/control/decider/decider.go
@@ -321,10 +321,12 @@
 		return
 	}
 	p := &d.policies
-	if !d.State.HasExpired(p.KeyRetention, p.OnceRetention, p.JobRetention, registrar.MillisOf(now)) {
-		return
+	ev := registrar.RecordsExpired{
+		Repeatable: p.KeyRetention, Once: p.OnceRetention, Jobs: p.JobRetention, Changes: p.ChangeRetention, MaxRepeatable: p.MaxRepeatable,
+	}
+	if d.State.HasExpired(ev, registrar.MillisOf(now)) {
+		d.emit(ev)
 	}
-	d.emit(registrar.RecordsExpired{Repeatable: p.KeyRetention, Once: p.OnceRetention, Jobs: p.JobRetention, Changes: p.ChangeRetention})
 }
 
 func (d *Decider) emit(ev registrar.Event) {
--- a/internal/control/registrar/change.go
+++ b/internal/control/registrar/change.go
@@ -271,4 +271,6 @@
 	Once       time.Duration `cbor:"2,keyasint"`
 	Jobs       time.Duration `cbor:"3,keyasint"`
 	Changes    time.Duration `cbor:"4,keyasint"`
+	// MaxRepeatable bounds the number of ended repeatable requests; 0: no bound.
+	MaxRepeatable int `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/control/registrar/state.go
+++ b/internal/control/registrar/state.go
@@ -213,9 +213,9 @@
 }
 
 func (s *State) expire(e RecordsExpired, at Millis) {
-	s.expireTasks(retainRepeatable, at.Add(-e.Repeatable))
-	s.expireTasks(retainOnce, at.Add(-e.Once))
-	s.expireTasks(retainJobs, at.Add(-e.Jobs))
+	s.expireTasks(retainRepeatable, at.Add(-e.Repeatable), e.MaxRepeatable)
+	s.expireTasks(retainOnce, at.Add(-e.Once), 0)
+	s.expireTasks(retainJobs, at.Add(-e.Jobs), 0)
 	for id, c := range s.Changes {
 		if at >= c.At.Add(e.Changes) {
 			delete(s.Changes, id)
@@ -234,11 +234,11 @@
 }
 
 // expireTasks evicts the tasks of one retention that ended before the given
-// time.
-func (s *State) expireTasks(r retention, before Millis) {
+// time, and the oldest ones above a number.
+func (s *State) expireTasks(r retention, before Millis, most int) {
 	list := s.ended[r]
 	n := 0
-	for n < len(list) && list[n].at < before {
+	for n < len(list) && (list[n].at < before || most > 0 && len(list)-n > most) {
 		if t := s.Tasks[list[n].id]; t != nil {
 			s.forget(t)
 		}
@@ -249,10 +249,13 @@
 	}
 }
 
-// HasExpired reports whether any ended task is past its retention at the given
+// HasExpired reports whether an event would evict any ended task at the given
 // time.
-func (s *State) HasExpired(repeatable, once, jobs time.Duration, at Millis) bool {
-	keep := [retentionCount]time.Duration{retainRepeatable: repeatable, retainOnce: once, retainJobs: jobs}
+func (s *State) HasExpired(e RecordsExpired, at Millis) bool {
+	keep := [retentionCount]time.Duration{retainRepeatable: e.Repeatable, retainOnce: e.Once, retainJobs: e.Jobs}
+	if e.MaxRepeatable > 0 && len(s.ended[retainRepeatable]) > e.MaxRepeatable {
+		return true
+	}
 	for r, list := range s.ended {
 		if len(list) > 0 && list[0].at < at.Add(-keep[r]) {
 			return true
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -49,6 +49,7 @@
 	inTime   int
 	starts   int
 	retries  int
+	resends  int
 }
 
 const (
@@ -58,6 +59,13 @@
 	idleConns  = 512
 )
 
+// What became of a call that has no outcome.
+const (
+	outcomeCut         = "Cut"
+	outcomeUnavailable = "Unavailable"
+	resendPause        = 50 * time.Millisecond
+)
+
 // body is what a request carries; the stand-in reads RunMillis and Seq.
 type body struct {
 	Seq       int
@@ -131,12 +139,12 @@
 			}
 		}
 		seq, stream := g.plan(r, next)
-		address := g.Daemons[r.Intn(len(g.Daemons))]
+		turn := r.Intn(len(g.Daemons))
 		run := stream.RunMin + time.Duration(r.Int63n(int64(stream.RunMax-stream.RunMin)+1))
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			g.send(ctx, address, seq, stream, run, next)
+			g.send(ctx, turn, seq, stream, run, next)
 		}()
 	}
 	wg.Wait()
@@ -173,7 +181,9 @@
 	Body       body
 }
 
-func (g *Generator) send(ctx context.Context, address string, seq int, s *Stream, run time.Duration, at time.Time) {
+// send sends a request until it has an outcome. After a cut connection, or when
+// a daemon can't say anything, it sends the same key to the next daemon.
+func (g *Generator) send(ctx context.Context, turn, seq int, s *Stream, run time.Duration, at time.Time) {
 	form := requestForm{
 		Key: fmt.Sprintf("%d-%d", g.Seed, seq), Need: s.Need, Class: s.Class.String(), Repeatable: !s.Once,
 		Body: body{seq, run.Milliseconds()},
@@ -181,12 +191,25 @@
 	if s.Deadline > 0 {
 		form.Deadline = s.Deadline.String()
 	}
-	outcome := g.post(ctx, address, s, &form)
+	outcome := ""
+	resends := 0
+	for {
+		outcome = g.post(ctx, g.Daemons[(turn+resends)%len(g.Daemons)], s, &form)
+		if outcome != outcomeCut && outcome != outcomeUnavailable || ctx.Err() != nil {
+			break
+		}
+		resends++
+		select {
+		case <-ctx.Done():
+		case <-time.After(resendPause):
+		}
+	}
 	took := time.Since(at)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	result := g.streams[g.kinds[seq]]
 	result.outcomes[outcome]++
+	result.resends += resends
 	if outcome == registrar.Done.String() {
 		_ = result.answer.RecordValue(max(took.Microseconds(), 1)) // longer ones don't occur
 		if s.Deadline == 0 || took <= s.Deadline {
@@ -208,7 +231,7 @@
 	req.Header.Set("Authorization", "Bearer "+g.Tokens[string(s.Caller)])
 	resp, err := g.client.Do(req)
 	if err != nil {
-		return "Cut"
+		return outcomeCut
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var a struct {
@@ -218,7 +241,7 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswers))
 	if err != nil || json.Unmarshal(text, &a) != nil {
-		return "Cut"
+		return outcomeCut
 	}
 	switch {
 	case a.Outcome == registrar.Done.String() && a.Body != form.Body:
@@ -227,6 +250,8 @@
 		return a.Outcome
 	case a.Pending:
 		return "Pending"
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return outcomeUnavailable
 	}
 	return fmt.Sprintf("Status%d", resp.StatusCode)
 }
--- a/internal/load/generator/report.go
+++ b/internal/load/generator/report.go
@@ -42,6 +42,7 @@
 	InTime   int // answered before the deadline
 	Starts   int
 	Retries  int // starts after the first of a request
+	Resends  int // of the same key by the caller
 	Wait     Times
 	Answer   Times
 }
@@ -83,7 +84,7 @@
 	for _, s := range g.streams {
 		r.Streams = append(r.Streams, StreamReport{
 			Name: s.stream.Name, Class: s.stream.Class.String(), Sent: s.sent, Outcomes: s.outcomes, InTime: s.inTime,
-			Starts: s.starts, Retries: s.retries, Wait: timesOf(s.wait), Answer: timesOf(s.answer),
+			Starts: s.starts, Retries: s.retries, Resends: s.resends, Wait: timesOf(s.wait), Answer: timesOf(s.answer),
 		})
 	}
 	return r
@@ -103,10 +104,10 @@
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	row := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) } // Flush returns the error
 	row("mix %s, %.0f requests/s for %.0f s, seed %d %s\n", r.Mix, r.Rate, r.Seconds, r.Seed, strings.Join(r.Policies, " "))
-	row("stream\tclass\tsent\tin time\tstarts\tretries\twait p50\tp99\tp99.9\tmax ms\tanswer p50\tp99 ms\toutcomes\n")
+	row("stream\tclass\tsent\tin time\tstarts\tretries\tresends\twait p50\tp99\tp99.9\tmax ms\tanswer p50\tp99 ms\toutcomes\n")
 	for _, s := range r.Streams {
-		row("%s\t%s\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%s\n", s.Name, s.Class, s.Sent, s.InTime, s.Starts,
-			s.Retries, s.Wait.P50, s.Wait.P99, s.Wait.P999, s.Wait.Max, s.Answer.P50, s.Answer.P99, outcomesText(s.Outcomes))
+		row("%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%s\n", s.Name, s.Class, s.Sent, s.InTime, s.Starts,
+			s.Retries, s.Resends, s.Wait.P50, s.Wait.P99, s.Wait.P999, s.Wait.Max, s.Answer.P50, s.Answer.P99, outcomesText(s.Outcomes))
 	}
 	row("packing: %d targets, processors in use mean %.1f%%, peak %.1f%%\n", r.Packing.Targets, 100*r.Packing.MeanCPU, 100*r.Packing.PeakCPU)
 	if len(r.Control) > 0 {
--- a/internal/load/launcher/launcher.go
+++ b/internal/load/launcher/launcher.go
@@ -71,8 +71,8 @@
 
 const readyPoll = 20 * time.Millisecond
 
-// Start runs the cell and returns once every daemon is ready.
-func (c *Cell) Start(ctx context.Context) error {
+// Launch starts the daemons and does not wait for them.
+func (c *Cell) Launch(ctx context.Context) error {
 	c.ctx, c.cancel = context.WithCancel(ctx)
 	c.History = imitator.NewHistory()
 	if err := c.prepare(); err != nil {
@@ -81,6 +81,14 @@
 	for _, n := range c.Nodes {
 		n.Start()
 	}
+	return nil
+}
+
+// Start runs the cell and returns once every daemon is ready.
+func (c *Cell) Start(ctx context.Context) error {
+	if err := c.Launch(ctx); err != nil {
+		return err
+	}
 	if err := c.AwaitReady(ctx); err != nil {
 		return err
 	}
