--- a/internal/cli/commander/apply.go
+++ b/internal/cli/commander/apply.go
@@ -1,8 +1,10 @@
 package commander
 
 import (
+	"context"
 	"crypto/rand"
 	"net/http"
+	"net/url"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
@@ -34,27 +36,8 @@
 			if findings.Err() != nil {
 				return errPrinted
 			}
-			reply, err := c.do(cmd.Context(), http.MethodGet, "/v1/configuration", nil)
-			if err != nil {
-				return failed(err)
-			}
-			if reply.Config == nil {
-				return failed(errors.Errorf("the configuration can't be read: %v", reply.Findings))
-			}
-			steps := declarer.Plan(declared, reply.Config)
-			s.printPlan(steps, reply.Config.Revision)
-			if dryRun || len(steps) == 0 {
-				return nil
-			}
-			call := &operator.ChangeCall{ChangeID: registrar.ChangeID(id), Base: &reply.Config.Revision, Text: "apply"}
-			for _, st := range steps {
-				call.Ops = append(call.Ops, st.Op)
-			}
-			reply, err = c.do(cmd.Context(), http.MethodPost, "/v1/changes", call)
-			if err != nil {
-				return failed(err)
-			}
-			return s.printReply("", reply)
+			a := &application{s, c, dryRun, id}
+			return a.run(cmd.Context(), declared)
 		},
 	}
 	daemonFlags(cmd, c)
@@ -64,6 +47,74 @@
 	return cmd
 }
 
+// application applies declarations, region by region where the cell has
+// several.
+type application struct {
+	*streams
+	client *daemonClient
+	dryRun bool
+	id     string
+}
+
+func (a *application) run(ctx context.Context, d *declarer.Declared) error {
+	config, err := a.configuration(ctx, "")
+	if err != nil {
+		return failed(err)
+	}
+	if len(config.Regions) == 0 {
+		return a.change(ctx, "", declarer.Plan(d, config), config.Revision)
+	}
+	policies := declarer.Plan(&declarer.Declared{Policies: d.Policies}, &declarer.Configuration{Policies: config.Policies})
+	if len(policies) > 0 {
+		a.printf("every region: ")
+		if err := a.change(ctx, "", policies, config.Revision); err != nil {
+			return err
+		}
+	}
+	for _, name := range config.Regions {
+		have, err := a.configuration(ctx, name)
+		if err != nil {
+			return failed(err)
+		}
+		a.printf("region %s: ", name)
+		if err := a.change(ctx, name, declarer.Plan(d.In(name, config.Region), have), have.Revision); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (a *application) configuration(ctx context.Context, region registrar.RegionName) (*declarer.Configuration, error) {
+	reply, err := a.client.do(ctx, http.MethodGet, "/v1/configuration?region="+url.QueryEscape(string(region)), nil)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Config == nil {
+		return nil, errors.Errorf("the configuration can't be read: %v", reply.Findings)
+	}
+	return reply.Config, nil
+}
+
+func (a *application) change(ctx context.Context, region registrar.RegionName, steps []declarer.Step, base registrar.Revision) error {
+	a.printPlan(steps, base)
+	if a.dryRun || len(steps) == 0 {
+		return nil
+	}
+	id := a.id
+	if region != "" {
+		id += "-" + string(region)
+	}
+	call := &operator.ChangeCall{ChangeID: registrar.ChangeID(id), Base: &base, Text: "apply"}
+	for _, st := range steps {
+		call.Ops = append(call.Ops, st.Op)
+	}
+	reply, err := a.client.do(ctx, http.MethodPost, "/v1/changes?region="+url.QueryEscape(string(region)), call)
+	if err != nil {
+		return failed(err)
+	}
+	return a.printReply("", reply)
+}
+
 func (s *streams) printPlan(steps []declarer.Step, base registrar.Revision) {
 	s.printf("plan of %d steps on revision %d\n", len(steps), base)
 	for _, st := range steps {
--- a/internal/cli/commander/ask.go
+++ b/internal/cli/commander/ask.go
@@ -108,6 +108,10 @@
 	}
 	s.printTable(reply.Table)
 	s.printChange(reply.Change)
+	for _, r := range reply.Elsewhere {
+		s.printf("region %s:\n", r.Region)
+		_ = s.printReply(statement, r.Reply) // its findings are printed; the own region's reply stands
+	}
 	if p := reply.Proof; p != nil {
 		s.printf("proved: retired by revision %d at entry %d; completed at entry %d in term %d\n", p.Revision, p.Retiring, p.Index, p.Term)
 		for _, d := range p.Daemons {
--- a/internal/control/decider/changes.go
+++ b/internal/control/decider/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,10 +27,23 @@
 	// Known, when set, is the digest of a change that was accepted before; only
 	// its answer is wanted again.
 	Known *registrar.Digest
+	// Stage is set for a change that concerns every region.
+	Stage Stage
 	// Done is called once, with the result.
 	Done func(ChangeResult)
 }
 
+// Stage is a step of a change that concerns every region.
+type Stage int
+
+// The stages. StageNone is a change of this region alone, or the last step of
+// one that concerns every region.
+const (
+	StageNone Stage = iota
+	StagePrepare
+	StageDrop
+)
+
 // ChangeResult is the answer to a change.
 type ChangeResult struct {
 	Revision  registrar.Revision // of the change, or the present one on refusal
@@ -66,6 +80,10 @@
 	if c.Known != nil {
 		digest = *c.Known
 	}
+	if c.Stage != StageNone {
+		d.takeStage(c, digest)
+		return
+	}
 	if d.answerRepeat(c, digest, now) {
 		return
 	}
@@ -90,6 +108,10 @@
 	revision := d.revision
 	if rec := d.State.Changes[c.ID]; rec != nil {
 		known, ok, revision = rec.Digest, true, rec.Revision
+		if rec.Dropped {
+			d.refuseChange(c, []string{fmt.Sprintf("change %q was dropped, since another region did not take it", c.ID)})
+			return true
+		}
 	}
 	if !ok {
 		return false
@@ -109,6 +131,45 @@
 	})
 }
 
+// takeStage prepares or drops a change that concerns every region. Both may be
+// sent again.
+func (d *Decider) takeStage(c *Change, digest registrar.Digest) {
+	rec, prepared := d.State.Changes[c.ID], d.State.Prepared[c.ID]
+	accepted := rec != nil && !rec.Dropped
+	var findings []string
+	switch {
+	case c.Stage == StageDrop && accepted:
+		findings = append(findings, fmt.Sprintf("change %q is accepted", c.ID))
+	case c.Stage == StageDrop && rec == nil:
+		d.emit(registrar.ConfigDropped{ID: c.ID, Digest: digest})
+	case c.Stage == StagePrepare && rec != nil && (rec.Dropped || rec.Digest != digest):
+		findings = append(findings, fmt.Sprintf("change %q was dropped or had other content", c.ID))
+	case c.Stage == StagePrepare && prepared == nil && !accepted:
+		if findings = d.checkChange(c); len(findings) == 0 {
+			d.emit(registrar.ConfigPrepared{ID: c.ID, Digest: digest, Ops: c.Ops, Text: c.Text})
+		}
+	}
+	revision := d.revision
+	d.round.Answers = append(d.round.Answers, func() {
+		c.Done(ChangeResult{Revision: revision, Refused: findings})
+	})
+}
+
+// otherPrepared returns an undecided change with another id, or nil.
+func (d *Decider) otherPrepared(id registrar.ChangeID) *registrar.Prepared {
+	for other, p := range d.State.Prepared {
+		if other != id {
+			return p
+		}
+	}
+	return nil
+}
+
+// concernsAll reports whether a change has a step that every region must take.
+func concernsAll(ops []registrar.Op) bool {
+	return slices.ContainsFunc(ops, func(op registrar.Op) bool { return op.PutPolicy != nil })
+}
+
 func (d *Decider) checkChange(c *Change) []string {
 	var findings []string
 	if c.ID == "" {
@@ -120,6 +181,9 @@
 	if c.Base != nil && *c.Base != d.revision && d.Disabled&WithoutBaseCheck == 0 {
 		findings = append(findings, fmt.Sprintf("based on revision %d, but the present revision is %d", *c.Base, d.revision))
 	}
+	if p := d.otherPrepared(c.ID); p != nil && concernsAll(c.Ops) {
+		findings = append(findings, fmt.Sprintf("change %q of every region is not decided yet", p.ID))
+	}
 	for i, op := range c.Ops {
 		if text := d.checkOp(c.Ops[:i], op); text != "" {
 			findings = append(findings, fmt.Sprintf("step %d: %s", i+1, text))
--- a/internal/control/decider/decider.go
+++ b/internal/control/decider/decider.go
@@ -60,11 +60,14 @@
 // Decider makes the decisions of one leader. The exported fields are set
 // before Begin.
 type Decider struct {
-	State    *registrar.State
-	Rand     *rand.Rand
-	Timing   Timing
-	Cell     string
-	Disabled Protection
+	State  *registrar.State
+	Rand   *rand.Rand
+	Timing Timing
+	Cell   string
+	// FirstTask is the lowest task id of this log, so that ids differ between
+	// the regions of a cell.
+	FirstTask registrar.TaskID
+	Disabled  Protection
 
 	term     registrar.Term
 	policies Policies
@@ -154,7 +157,7 @@
 	d.targets = make(map[registrar.TargetName]*targetView)
 	d.order = nil
 	d.used = make(map[registrar.CallerName]registrar.Need)
-	d.nextTask = d.State.NextTask
+	d.nextTask = max(d.State.NextTask, d.FirstTask)
 	d.sessions = make(map[registrar.DaemonName]*session)
 	d.preempting = make(map[registrar.TaskID]time.Time)
 	d.watchers = make(map[registrar.RequestKey][]registrar.DaemonName)
--- a/internal/control/registrar/apply.go
+++ b/internal/control/registrar/apply.go
@@ -10,6 +10,7 @@
 		return
 	}
 	s.Revision = e.Record.Revision
+	delete(s.Prepared, e.Record.ID)
 	rec := e.Record
 	rec.At = at
 	rec.Index = s.Applied
@@ -19,6 +20,19 @@
 	}
 }
 
+// Apply keeps the change until it is decided.
+func (e ConfigPrepared) Apply(s *State, at Millis) {
+	s.Prepared[e.ID] = &Prepared{e.ID, e.Digest, e.Ops, e.Text, at}
+}
+
+// Apply forgets a prepared change and remembers that it was dropped.
+func (e ConfigDropped) Apply(s *State, at Millis) {
+	delete(s.Prepared, e.ID)
+	if s.Changes[e.ID] == nil {
+		s.Changes[e.ID] = &ChangeRecord{ID: e.ID, Digest: e.Digest, At: at, Index: s.Applied, Dropped: true}
+	}
+}
+
 func (op Op) apply(s *State, at Millis) {
 	switch {
 	case op.PutCaller != nil:
--- a/internal/control/registrar/change.go
+++ b/internal/control/registrar/change.go
@@ -46,6 +46,8 @@
 	{13, TargetProved{}, decodeAs[TargetProved]},
 	{14, JobSubmitted{}, decodeAs[JobSubmitted]},
 	{15, JobCanceled{}, decodeAs[JobCanceled]},
+	{16, ConfigPrepared{}, decodeAs[ConfigPrepared]},
+	{17, ConfigDropped{}, decodeAs[ConfigDropped]},
 }
 
 var tagByType = indexByType()
@@ -154,6 +156,21 @@
 	Ops    []Op         `cbor:"2,keyasint"`
 }
 
+// ConfigPrepared records that this region will accept a change that concerns
+// every region. It is in force only when ConfigChanged follows.
+type ConfigPrepared struct {
+	ID     ChangeID `cbor:"1,keyasint"`
+	Digest Digest   `cbor:"2,keyasint"`
+	Ops    []Op     `cbor:"3,keyasint"`
+	Text   string   `cbor:"4,keyasint,omitempty"`
+}
+
+// ConfigDropped records that a change will never be accepted in this region.
+type ConfigDropped struct {
+	ID     ChangeID `cbor:"1,keyasint"`
+	Digest Digest   `cbor:"2,keyasint"`
+}
+
 // Op is one step of a change. Exactly one of the pointers is set.
 type Op struct {
 	PutCaller    *Caller     `cbor:"1,keyasint,omitempty"`
--- a/internal/control/registrar/records.go
+++ b/internal/control/registrar/records.go
@@ -139,4 +139,14 @@
 	Text     string   `cbor:"5,keyasint,omitempty"`
 	Operator string   `cbor:"6,keyasint,omitempty"`
 	Index    Index    `cbor:"7,keyasint,omitempty"`
+	Dropped  bool     `cbor:"8,keyasint,omitempty"` // never accepted
+}
+
+// Prepared is a change of every region that is not decided yet.
+type Prepared struct {
+	ID     ChangeID `cbor:"1,keyasint"`
+	Digest Digest   `cbor:"2,keyasint"`
+	Ops    []Op     `cbor:"3,keyasint"`
+	Text   string   `cbor:"4,keyasint,omitempty"`
+	At     Millis   `cbor:"5,keyasint"`
 }
--- a/internal/control/registrar/snapshot.go
+++ b/internal/control/registrar/snapshot.go
@@ -26,6 +26,7 @@
 	Changes  []*ChangeRecord `cbor:"11,keyasint"`
 	Chain    Chain           `cbor:"12,keyasint"`
 	Evidence []Dossier       `cbor:"13,keyasint,omitempty"`
+	Prepared []*Prepared     `cbor:"14,keyasint,omitempty"`
 }
 
 // Freeze copies the tables. Records are shared, since they are never altered.
@@ -37,6 +38,7 @@
 	snap.Targets = values(s.Targets)
 	snap.Daemons = values(s.Daemons)
 	snap.Changes = values(s.Changes)
+	snap.Prepared = values(s.Prepared)
 	for subject, links := range s.Evidence {
 		snap.Evidence = append(snap.Evidence, Dossier{subject, links})
 	}
@@ -63,6 +65,7 @@
 	sortBy(snap.Targets, func(t *Target) string { return string(t.Name) })
 	sortBy(snap.Daemons, func(d *Daemon) string { return string(d.Name) })
 	sortBy(snap.Evidence, func(d Dossier) string { return d.Subject.String() })
+	sortBy(snap.Prepared, func(p *Prepared) string { return string(p.ID) })
 	sortBy(snap.Changes, func(c *ChangeRecord) string { return string(c.ID) })
 	return encMode.Marshal(snap)
 }
@@ -91,6 +94,9 @@
 	for _, c := range snap.Callers {
 		s.Callers[c.Name] = c
 	}
+	for _, p := range snap.Prepared {
+		s.Prepared[p.ID] = p
+	}
 	for _, d := range snap.Evidence {
 		s.Evidence[d.Subject] = d.Links
 	}
--- a/internal/control/registrar/state.go
+++ b/internal/control/registrar/state.go
@@ -25,6 +25,7 @@
 	Targets  map[TargetName]*Target
 	Daemons  map[DaemonName]*Daemon
 	Changes  map[ChangeID]*ChangeRecord
+	Prepared map[ChangeID]*Prepared
 	// Evidence holds the entries that a retirement in progress rests on.
 	Evidence map[Subject][]Link
 
@@ -54,6 +55,7 @@
 		Targets:  make(map[TargetName]*Target),
 		Daemons:  make(map[DaemonName]*Daemon),
 		Changes:  make(map[ChangeID]*ChangeRecord),
+		Prepared: make(map[ChangeID]*Prepared),
 		Evidence: make(map[Subject][]Link),
 		ByKey:    make(map[RequestKey]TaskID),
 		ByTarget: make(map[TargetName]map[TaskID]*Task),
--- a/internal/daemon/gateway/gateway_test.go
+++ b/internal/daemon/gateway/gateway_test.go
@@ -40,6 +40,10 @@
 	return &replica.AnswerReply{}, nil
 }
 
+func (l *fakeLeader) Relay(context.Context, *replica.RelayCall) (*replica.RelayReply, error) {
+	return &replica.RelayReply{}, nil
+}
+
 func (l *fakeLeader) Session(_ context.Context, s replica.SessionStream) error {
 	l.mu.Lock()
 	l.stream = s
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -4,10 +4,13 @@
 
 import (
 	"context"
+	"crypto/subtle"
 	"fmt"
 	"math/rand"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -24,6 +27,7 @@
 	"masticroad/internal/peer/certifier"
 	"masticroad/internal/peer/operator"
 	"masticroad/internal/peer/platform"
+	"masticroad/internal/peer/region"
 	"masticroad/internal/peer/replica"
 	"masticroad/internal/peer/target"
 	"masticroad/internal/settings/loader"
@@ -56,6 +60,8 @@
 	traffic    *replica.Traffic
 	identity   storer.Identity
 	saved      replicator.Saved
+	router     *region.Router // nil in a cell of one log
+	app        atomic.Pointer[handlerBox]
 	creds      credentials.TransportCredentials
 	ready      chan struct{}
 	nodeDone   chan struct{}
@@ -63,11 +69,12 @@
 }
 
 const (
-	groupID           = replicator.GroupID(1)
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
 	drainPause        = 300 * time.Millisecond // for the balancer to see readiness
 	handOver          = 2 * time.Second
+	taskIDBits        = 40 // of a region's own task ids
+	resolveInterval   = 2 * time.Second
 )
 
 // Run starts the daemon and returns after a planned stop, which begins when ctx
@@ -145,7 +152,7 @@
 func (r *Runner) openStorage() error {
 	s := r.Settings
 	fresh := replicator.ReplicaID(fmt.Sprintf("%s.%x", s.Name, r.life))
-	want := storer.Identity{Cell: s.Cell, Group: groupID, Replica: fresh}
+	want := storer.Identity{Cell: s.Cell, Group: replicator.GroupID(s.Group()), Replica: fresh}
 	if s.DataFolder == "" {
 		r.identity = want
 		return nil
@@ -169,7 +176,7 @@
 	r.openNode()
 	r.openControl()
 	r.client = &replica.Client{Credentials: r.creds, Traffic: r.traffic}
-	for _, p := range s.Peers {
+	for _, p := range s.Members() {
 		if p.Name != s.Name {
 			r.client.Peers = append(r.client.Peers, replica.Peer{Name: p.Name, Address: p.Address})
 		}
@@ -187,17 +194,59 @@
 		Term: func() registrar.Term { return r.node.Status().Term },
 	}
 	r.gate.Open()
-	r.operators = &operator.Service{Controller: r.control, Node: r.node, Client: r.client, Leader: r.leader, Self: r.address(s.Name)}
+	r.operators = &operator.Service{
+		Controller: r.control, Node: r.node, Client: r.client, Leader: r.leader, Self: r.address(s.Name), Region: s.Region,
+	}
+	r.openRegions()
 	r.gauges()
 }
 
+// openRegions prepares the calls to other regions, if the cell has any.
+func (r *Runner) openRegions() {
+	elsewhere := r.Settings.Elsewhere()
+	if len(elsewhere) == 0 {
+		return
+	}
+	far := &replica.Client{Credentials: r.creds, Traffic: r.traffic}
+	peers := make(map[registrar.RegionName][]replica.Peer)
+	for name, list := range elsewhere {
+		for _, p := range list {
+			peer := replica.Peer{Name: p.Name, Address: p.Address}
+			peers[name] = append(peers[name], peer)
+			far.Peers = append(far.Peers, peer)
+		}
+	}
+	r.router = &region.Router{Own: r.Settings.Region, Elsewhere: peers, Client: far, Now: r.Now}
+	r.operators.Far = r.router
+}
+
+// resolve decides changes of every region that were left undecided, while this
+// daemon leads.
+func (r *Runner) resolve(ctx context.Context) {
+	if r.router == nil {
+		return
+	}
+	tick := time.NewTicker(resolveInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if r.node.Status().Role == replicator.Leader {
+			r.operators.Resolve(ctx, r.Now())
+		}
+	}
+}
+
 func (r *Runner) openNode() {
 	s := r.Settings
 	timing := replicator.DefaultTiming
 	timing.Heartbeat, timing.ElectionMin, timing.ElectionMax = s.Heartbeat, s.ElectionMin, s.ElectionMax
 	timing.ReplaceAfter = s.ReplaceAfter
 	core := &replicator.Core{
-		Group: groupID, ID: r.identity.Replica, Durable: r.store != nil, Timing: timing,
+		Group: r.identity.Group, ID: r.identity.Replica, Durable: r.store != nil, Timing: timing,
 		Rand: rand.New(rand.NewSource(int64(r.life))),
 	}
 	core.Start(r.saved, r.Now())
@@ -214,6 +263,7 @@
 	timing.DaemonLease, timing.TargetLease = s.DaemonLease, s.TargetLease
 	timing.StartWindow, timing.Transit = s.StartWindow, s.Transit
 	d := &decider.Decider{State: registrar.New(), Rand: rand.New(rand.NewSource(int64(r.life))), Timing: timing, Cell: s.Cell}
+	d.FirstTask = registrar.TaskID(s.Group()-1)<<taskIDBits + 1
 	r.control = &controller.Controller{
 		Node: r.node, Decider: d, Log: r.Log.Named("control"), Now: r.Now,
 		MaxEntries: s.SnapshotEntries, MaxBytes: s.SnapshotBytes,
@@ -256,6 +306,7 @@
 	go func() { failed <- errors.Annotate(r.control.Run(ctx), "control") }()
 	go r.client.Run(ctx)
 	go r.gate.Run(ctx)
+	go r.resolve(ctx)
 	server := &replica.Server{Handler: handler{r}, Listener: r.Replica, Credentials: r.creds, Traffic: r.traffic}
 	go func() { failed <- errors.Annotate(server.Run(ctx), "replica server") }()
 	go func() { failed <- r.serveHTTP() }()
@@ -268,6 +319,7 @@
 	if err := app.Build(); err != nil {
 		return errors.Annotate(err, "daemon: HTTP routes")
 	}
+	r.app.Store(&handlerBox{app})
 	r.httpServer = &http.Server{Handler: app, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	close(r.ready)
 	err := r.httpServer.Serve(r.HTTP)
@@ -284,6 +336,16 @@
 		Gateway: r.gate, View: r.control.View, Operator: r.operators, Now: r.Now,
 		MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, BodyTimeout: s.BodyTimeout,
 	}
+	if r.router != nil {
+		home := &region.Home{Router: r.router, Knows: r.knows, MaxBody: int64(s.MaxBody) * 2, Now: r.Now}
+		app.UseRouter(func(ctx iris.Context) {
+			if strings.HasPrefix(ctx.Path(), "/v1/requests") || strings.HasPrefix(ctx.Path(), "/v1/jobs") {
+				home.Pass(ctx)
+				return
+			}
+			ctx.Next()
+		})
+	}
 	callers.Routes(app)
 	tokens := make(map[string]string)
 	for _, o := range s.Operators {
@@ -297,6 +359,16 @@
 	p.Routes(app)
 }
 
+// knows reports whether a token's digest belongs to a caller of this region.
+func (r *Runner) knows(digest string) bool {
+	for _, c := range r.control.View().Callers {
+		if subtle.ConstantTimeCompare([]byte(digest), []byte(c.TokenDigest)) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // endConnections lets clients close their connections during a planned stop,
 // so that none is closed while a request is on its way.
 func (r *Runner) endConnections(ctx iris.Context) {
@@ -414,6 +486,22 @@
 
 func (h handler) Receive(messages []replicator.Message) { h.r.node.Receive(messages) }
 
+func (h handler) Relay(ctx context.Context, c *replica.RelayCall) (*replica.RelayReply, error) {
+	if c.Method == operator.MethodCall {
+		return h.r.operators.ServeFar(ctx, c), nil
+	}
+	box := h.r.app.Load()
+	if box == nil {
+		return nil, errors.New("the daemon is starting")
+	}
+	return region.Serve(ctx, box.handler, c), nil
+}
+
+// handlerBox holds the HTTP handler once it is built.
+type handlerBox struct {
+	handler http.Handler
+}
+
 func (h handler) Session(ctx context.Context, s replica.SessionStream) error {
 	return h.r.control.Session(ctx, s)
 }
@@ -428,8 +516,8 @@
 
 // Prepare writes the identity of a first voter into its data folder.
 func Prepare(s *loader.Settings) error {
-	id := storer.Identity{Cell: s.Cell, Group: groupID, Replica: firstReplica(string(s.Name))}
-	for _, name := range s.Voters {
+	id := storer.Identity{Cell: s.Cell, Group: replicator.GroupID(s.Group()), Replica: firstReplica(string(s.Name))}
+	for _, name := range s.GroupVoters() {
 		id.Voters = append(id.Voters, firstReplica(name))
 	}
 	return storer.Prepare(s.DataFolder, id)
--- /dev/null
+++ b/internal/peer/operator/regions.go
@@ -0,0 +1,319 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/controller"
+	"masticroad/internal/language/parser"
+	"masticroad/internal/peer/replica"
+)
+
+// This file serves operators in a cell of several regions. What one region owns
+// is changed in that region alone, also while others are cut off. A policy
+// concerns every region: it is prepared in each, then accepted by the first
+// region, whose log decides, then by the others; when a region can't be reached
+// it is refused. Example: with the link cut, DRAIN TARGET works on either side
+// and SET POLICY is refused with the reason.
+
+// Far passes calls on to other regions.
+type Far interface {
+	Regions() []registrar.RegionName
+	First() registrar.RegionName
+	Relay(ctx context.Context, name registrar.RegionName, call *replica.RelayCall) (*replica.RelayReply, error)
+}
+
+// RegionReply is the reply of another region.
+type RegionReply struct {
+	Region registrar.RegionName
+	Reply  *Reply
+}
+
+// MethodCall marks a relayed call of this service, which only daemons make.
+const MethodCall = "CALL"
+
+// StateCall asks what became of a change.
+type StateCall struct {
+	ChangeID registrar.ChangeID
+}
+
+func (s *Service) prepare(ctx context.Context, call *ChangeCall) (*Reply, error) {
+	return s.staged(ctx, call, decider.StagePrepare)
+}
+
+func (s *Service) drop(ctx context.Context, call *ChangeCall) (*Reply, error) {
+	return s.staged(ctx, call, decider.StageDrop)
+}
+
+func (s *Service) staged(ctx context.Context, call *ChangeCall, stage decider.Stage) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, changeLimit)
+	defer cancel()
+	result, err := s.Controller.Change(ctx, &decider.Change{ID: call.ChangeID, Ops: call.Ops, Text: call.Text, Stage: stage})
+	if err != nil {
+		return nil, err
+	}
+	return &Reply{Change: &result, Findings: result.Refused}, nil
+}
+
+// changeState tells whether this region accepted or dropped a change.
+func (s *Service) changeState(ctx context.Context, call *StateCall) (*Reply, error) {
+	reply := &Reply{}
+	err := s.Controller.Read(ctx, false, func(t *controller.Tables) {
+		if rec := t.State.Changes[call.ChangeID]; rec != nil {
+			reply.Record = rec
+		}
+	})
+	return reply, err
+}
+
+// at carries out a call in a region.
+func (s *Service) at(ctx context.Context, name registrar.RegionName, method string, in any) (*Reply, error) {
+	if name == s.Region {
+		return s.Do(ctx, method, in)
+	}
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	out, err := s.Far.Relay(ctx, name, &replica.RelayCall{Method: MethodCall, Path: method, Body: body})
+	if err != nil {
+		return nil, err
+	}
+	reply := &Reply{}
+	if out.Status != http.StatusOK {
+		return nil, errors.Errorf("region %s: %s", name, out.Body)
+	}
+	return reply, errors.Trace(json.Unmarshal(out.Body, reply))
+}
+
+// ServeFar carries out a call of a daemon in another region.
+func (s *Service) ServeFar(ctx context.Context, call *replica.RelayCall) *replica.RelayReply {
+	reply, err := s.Do(ctx, call.Path, json.RawMessage(call.Body))
+	if err != nil {
+		return &replica.RelayReply{Status: http.StatusServiceUnavailable, Body: []byte(err.Error())}
+	}
+	body, err := json.Marshal(reply)
+	if err != nil {
+		return &replica.RelayReply{Status: http.StatusInternalServerError, Body: []byte(err.Error())}
+	}
+	return &replica.RelayReply{Status: http.StatusOK, Body: body}
+}
+
+func (s *Service) regions() []registrar.RegionName {
+	all := append(s.Far.Regions(), s.Region)
+	slices.Sort(all)
+	return all
+}
+
+// changeEverywhere makes a change that concerns every region.
+func (s *Service) changeEverywhere(ctx context.Context, call *ChangeCall) (*Reply, error) {
+	all := s.regions()
+	for i, name := range all {
+		reply, err := s.at(ctx, name, "Prepare", call)
+		if err == nil && len(reply.Findings) == 0 {
+			continue
+		}
+		for _, done := range all[:i] {
+			_, _ = s.at(ctx, done, "Drop", call) // otherwise its leader resolves it
+		}
+		if err != nil {
+			return &Reply{Findings: []string{fmt.Sprintf("refused, since it concerns every region: %v", err)}}, nil
+		}
+		return reply, nil
+	}
+	var first *Reply
+	for _, name := range all {
+		reply, err := s.at(ctx, name, "Change", call)
+		if err != nil {
+			return nil, errors.Annotatef(err, "not yet in force in region %s; send it again with id %q", name, call.ChangeID)
+		}
+		if len(reply.Findings) > 0 {
+			return reply, nil
+		}
+		if first == nil {
+			first = reply
+		} else {
+			first.Elsewhere = append(first.Elsewhere, RegionReply{name, reply})
+		}
+	}
+	return first, nil
+}
+
+// Times of the resolution of undecided changes.
+const (
+	resolveAfter = 3 * time.Second
+	giveUpAfter  = 30 * time.Second
+)
+
+// Resolve decides the changes that were prepared here and whose coordinator did
+// not finish. The first region's log tells whether they were accepted.
+func (s *Service) Resolve(ctx context.Context, now time.Time) {
+	var open []registrar.Prepared
+	err := s.Controller.Read(ctx, false, func(t *controller.Tables) {
+		for _, p := range t.State.Prepared {
+			if now.Sub(p.At.Time()) >= resolveAfter {
+				open = append(open, *p)
+			}
+		}
+	})
+	if err != nil {
+		return
+	}
+	for i := range open {
+		s.resolve(ctx, &open[i], now)
+	}
+}
+
+func (s *Service) resolve(ctx context.Context, p *registrar.Prepared, now time.Time) {
+	call := &ChangeCall{ChangeID: p.ID, Ops: p.Ops, Text: p.Text, Operator: "resolved"}
+	first := s.Far.First()
+	reply, err := s.at(ctx, first, "State", &StateCall{p.ID})
+	if err != nil {
+		return // the first region can't be reached: still in doubt
+	}
+	old := now.Sub(p.At.Time()) >= giveUpAfter
+	switch {
+	case reply.Record != nil && !reply.Record.Dropped:
+		_, _ = s.at(ctx, s.Region, "Change", call) // tried again at the next turn
+	case reply.Record != nil:
+		_, _ = s.at(ctx, s.Region, "Drop", call) // as above
+	case old:
+		if reply, err := s.at(ctx, first, "Drop", call); err == nil && len(reply.Findings) == 0 {
+			_, _ = s.at(ctx, s.Region, "Drop", call) // as above
+		}
+	}
+}
+
+// Everywhere carries out a statement in the regions that it concerns.
+func (s *Service) Everywhere(ctx context.Context, call *StatementCall) (*Reply, error) {
+	st, err := parser.Parse(call.Statement)
+	if err != nil {
+		return refuseSyntax(err), nil
+	}
+	c := &st.Command
+	switch {
+	case c.Show != nil:
+		return s.showEverywhere(ctx, call)
+	case c.Set != nil:
+		return s.setEverywhere(ctx, call, st)
+	}
+	if name := namedRegion(c); name != "" && slices.Contains(s.Far.Regions(), name) {
+		return s.at(ctx, name, "Statement", call)
+	}
+	return s.whereKnown(ctx, call)
+}
+
+func (s *Service) showEverywhere(ctx context.Context, call *StatementCall) (*Reply, error) {
+	reply, err := s.Do(ctx, "Statement", call)
+	if err != nil || len(reply.Findings) > 0 {
+		return reply, err
+	}
+	for _, name := range s.Far.Regions() {
+		other, err := s.at(ctx, name, "Statement", call)
+		if err != nil {
+			other = &Reply{Findings: []string{err.Error()}}
+		}
+		reply.Elsewhere = append(reply.Elsewhere, RegionReply{name, other})
+	}
+	return reply, nil
+}
+
+func (s *Service) setEverywhere(ctx context.Context, call *StatementCall, st *parser.Statement) (*Reply, error) {
+	name := decider.CanonicalPolicy(st.Command.Set.Name)
+	cc := &ChangeCall{
+		ChangeID: call.ChangeID, Text: call.Statement, Operator: call.Operator,
+		Ops: []registrar.Op{{PutPolicy: &registrar.Policy{Name: name, Value: st.Command.Set.Value.Text}}},
+	}
+	if st.ID != nil {
+		cc.ChangeID = registrar.ChangeID(*st.ID)
+	}
+	if st.Base != nil {
+		return &Reply{Findings: []string{"each region counts its own revisions, so a change of every region takes no BASE"}}, nil
+	}
+	return s.changeEverywhere(ctx, cc)
+}
+
+// namedRegion returns the region that a command sets for a caller.
+func namedRegion(c *parser.Command) registrar.RegionName {
+	if c.Create == nil || !strings.EqualFold(c.Create.Kind, "CALLER") {
+		return ""
+	}
+	for _, a := range c.Create.Set {
+		if strings.EqualFold(a.Field, "Region") {
+			return registrar.RegionName(a.Value.Text)
+		}
+	}
+	return ""
+}
+
+// whereKnown carries out a statement in the region that knows what it names.
+func (s *Service) whereKnown(ctx context.Context, call *StatementCall) (*Reply, error) {
+	own, err := s.Do(ctx, "Statement", call)
+	if err != nil || !namesUnknown(own) {
+		return own, err
+	}
+	for _, name := range s.Far.Regions() {
+		other, err := s.at(ctx, name, "Statement", call)
+		if err != nil {
+			own.Findings = append(own.Findings, err.Error())
+			continue
+		}
+		if !namesUnknown(other) {
+			return other, nil
+		}
+	}
+	return own, nil
+}
+
+func namesUnknown(r *Reply) bool {
+	text := strings.Join(append(slices.Clone(r.Findings), r.Lines...), "\n")
+	for _, sign := range []string{"does not exist", "is not known", "is not retired", "is not queued or running"} {
+		if strings.Contains(text, sign) {
+			return true
+		}
+	}
+	return false
+}
+
+// ChangeIn makes a change of several steps in one region, or in every region
+// when it sets policies.
+func (s *Service) ChangeIn(ctx context.Context, name registrar.RegionName, call *ChangeCall) (*Reply, error) {
+	policies := 0
+	for _, op := range call.Ops {
+		if op.PutPolicy != nil {
+			policies++
+		}
+	}
+	switch {
+	case policies == len(call.Ops):
+		call.Base = nil
+		return s.changeEverywhere(ctx, call)
+	case policies > 0:
+		return &Reply{Findings: []string{"policies concern every region: set them in a change of their own"}}, nil
+	case name == "":
+		name = s.Region
+	}
+	return s.at(ctx, name, "Change", call)
+}
+
+// ConfigurationOf returns the configuration of one region.
+func (s *Service) ConfigurationOf(ctx context.Context, name registrar.RegionName) (*Reply, error) {
+	if name == "" {
+		name = s.Region
+	}
+	reply, err := s.at(ctx, name, "Configuration", &struct{}{})
+	if err == nil && reply.Config != nil {
+		reply.Config.Region = name
+		reply.Config.Regions = s.regions()
+	}
+	return reply, err
+}
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -70,7 +70,12 @@
 	if call.ChangeID == "" {
 		call.ChangeID = registrar.ChangeID(rand.Text())
 	}
-	s.do(ctx, "Statement", &call)
+	s.answer(ctx, func(c context.Context) (*Reply, error) {
+		if s.Service.Far == nil {
+			return s.Service.Do(c, "Statement", &call)
+		}
+		return s.Service.Everywhere(c, &call)
+	})
 }
 
 func (s *Server) change(ctx iris.Context) {
@@ -80,19 +85,30 @@
 		return
 	}
 	call.Operator = name
-	s.do(ctx, "Change", &call)
+	s.answer(ctx, func(c context.Context) (*Reply, error) {
+		if s.Service.Far == nil {
+			return s.Service.Do(c, "Change", &call)
+		}
+		return s.Service.ChangeIn(c, registrar.RegionName(ctx.URLParam("region")), &call)
+	})
 }
 
 func (s *Server) configuration(ctx iris.Context) {
-	if _, ok := s.operator(ctx); ok {
-		s.do(ctx, "Configuration", &struct{}{})
+	if _, ok := s.operator(ctx); !ok {
+		return
 	}
+	s.answer(ctx, func(c context.Context) (*Reply, error) {
+		if s.Service.Far == nil {
+			return s.Service.Do(c, "Configuration", &struct{}{})
+		}
+		return s.Service.ConfigurationOf(c, registrar.RegionName(ctx.URLParam("region")))
+	})
 }
 
-func (s *Server) do(ctx iris.Context, name string, call any) {
+func (s *Server) answer(ctx iris.Context, f func(context.Context) (*Reply, error)) {
 	c, cancel := context.WithTimeout(ctx.Request().Context(), callTimeout)
 	defer cancel()
-	reply, err := s.Service.Do(c, name, call)
+	reply, err := f(c)
 	switch {
 	case err != nil:
 		write(ctx, http.StatusServiceUnavailable, &Reply{Findings: []string{err.Error()}})
--- a/internal/peer/operator/service.go
+++ b/internal/peer/operator/service.go
@@ -44,14 +44,16 @@
 
 // Reply answers a call.
 type Reply struct {
-	Table    *evaluator.Table        `json:",omitempty"`
-	Lines    []string                `json:",omitempty"`
-	Proof    *retirer.Proof          `json:",omitempty"`
-	Change   *decider.ChangeResult   `json:",omitempty"`
-	Config   *declarer.Configuration `json:",omitempty"`
-	Lookup   *Lookup                 `json:",omitempty"`
-	Findings []string                `json:",omitempty"` // why the call is refused
-	Column   int                     `json:",omitempty"` // of a syntax error
+	Table     *evaluator.Table        `json:",omitempty"`
+	Lines     []string                `json:",omitempty"`
+	Proof     *retirer.Proof          `json:",omitempty"`
+	Change    *decider.ChangeResult   `json:",omitempty"`
+	Config    *declarer.Configuration `json:",omitempty"`
+	Lookup    *Lookup                 `json:",omitempty"`
+	Findings  []string                `json:",omitempty"` // why the call is refused
+	Record    *registrar.ChangeRecord `json:",omitempty"`
+	Elsewhere []RegionReply           `json:",omitempty"` // of other regions
+	Column    int                     `json:",omitempty"` // of a syntax error
 }
 
 // LookupCall asks for the state of a caller's request.
@@ -75,6 +77,8 @@
 	Client     *replica.Client
 	Leader     func() string // address of the leader for other daemons, or empty
 	Self       string        // own address for other daemons
+	Region     registrar.RegionName
+	Far        Far // nil in a cell of one log
 }
 
 type method func(s *Service, ctx context.Context, body []byte) (*Reply, error)
@@ -84,6 +88,9 @@
 	"Change":        decoded((*Service).change),
 	"Configuration": decoded((*Service).configuration),
 	"Lookup":        decoded((*Service).lookup),
+	"Prepare":       decoded((*Service).prepare),
+	"Drop":          decoded((*Service).drop),
+	"State":         decoded((*Service).changeState),
 }
 
 func decoded[In any](f func(*Service, context.Context, *In) (*Reply, error)) method {
--- a/internal/peer/replica/client.go
+++ b/internal/peer/replica/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -10,6 +11,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/keepalive"
 
 	"masticroad/internal/control/decider"
@@ -41,6 +43,8 @@
 	Traffic     *Traffic
 
 	links map[registrar.DaemonName]*link
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn // shared by calls
 }
 
 type link struct {
@@ -263,6 +267,57 @@
 	return out, c.invoke(ctx, address, "Answer", q, out)
 }
 
+// Relay passes an HTTP call on to a daemon of another region, on a connection
+// that is kept. Large bodies are compressed, since the link is paid by volume.
+func (c *Client) Relay(ctx context.Context, address string, call *RelayCall) (*RelayReply, error) {
+	conn, err := c.kept(address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var opts []grpc.CallOption
+	if len(call.Body) >= compressFrom {
+		opts = append(opts, grpc.UseCompressor(gzip.Name))
+	}
+	out := &RelayReply{}
+	if err := conn.Invoke(ctx, "/"+serviceName+"/Relay", call, out, opts...); err != nil {
+		c.drop(address, conn)
+		return nil, errors.Annotatef(err, "relay to %s", address)
+	}
+	return out, nil
+}
+
+// compressFrom is the size from which a body is compressed.
+const compressFrom = 1 << 10
+
+// kept returns the connection to a daemon that calls share.
+func (c *Client) kept(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[address]; conn != nil {
+		return conn, nil
+	}
+	conn, err := c.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	if c.conns == nil {
+		c.conns = make(map[string]*grpc.ClientConn)
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// drop closes a shared connection after a failed call, so that the next call
+// takes a new one.
+func (c *Client) drop(address string, conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+		_ = conn.Close()
+	}
+}
+
 func (c *Client) invoke(ctx context.Context, address, method string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/peer/replica/protocol.go
+++ b/internal/peer/replica/protocol.go
@@ -56,6 +56,22 @@
 	Type   string `cbor:"4,keyasint,omitempty"`
 }
 
+// RelayCall is an HTTP call that a daemon of another region has to serve.
+type RelayCall struct {
+	Method string            `cbor:"1,keyasint"`
+	Path   string            `cbor:"2,keyasint"`
+	Query  string            `cbor:"3,keyasint,omitempty"`
+	Header map[string]string `cbor:"4,keyasint,omitempty"`
+	Body   []byte            `cbor:"5,keyasint,omitempty"`
+}
+
+// RelayReply is the whole answer of a relayed call.
+type RelayReply struct {
+	Status int               `cbor:"1,keyasint"`
+	Header map[string]string `cbor:"2,keyasint,omitempty"`
+	Body   []byte            `cbor:"3,keyasint,omitempty"`
+}
+
 // Handler is what a daemon does with what other daemons send.
 type Handler interface {
 	// Receive takes in messages of the replicated log.
@@ -67,6 +83,8 @@
 	Call(ctx context.Context, call *Call) (*CallReply, error)
 	// Answer returns an answer that this daemon holds.
 	Answer(ctx context.Context, q *AnswerQuery) (*AnswerReply, error)
+	// Relay serves an HTTP call that a daemon of another region passes on.
+	Relay(ctx context.Context, c *RelayCall) (*RelayReply, error)
 }
 
 // SessionStream is the leader's end of a session.
@@ -105,6 +123,9 @@
 		{MethodName: "Answer", Handler: unary(func(h Handler, ctx context.Context, in *AnswerQuery) (*AnswerReply, error) {
 			return h.Answer(ctx, in)
 		})},
+		{MethodName: "Relay", Handler: unary(func(h Handler, ctx context.Context, in *RelayCall) (*RelayReply, error) {
+			return h.Relay(ctx, in)
+		})},
 	},
 	Streams: []grpc.StreamDesc{
 		{StreamName: "Deliver", Handler: serveDeliver, ServerStreams: true, ClientStreams: true},
--- a/internal/settings/declarer/declarer.go
+++ b/internal/settings/declarer/declarer.go
@@ -26,6 +26,8 @@
 
 // Configuration is the configuration in force, as a daemon tells it.
 type Configuration struct {
+	Region   registrar.RegionName   `json:",omitempty"`
+	Regions  []registrar.RegionName `json:",omitempty"` // of the cell; empty: it keeps one log
 	Revision registrar.Revision
 	Index    registrar.Index
 	Callers  []registrar.Caller
@@ -155,6 +157,24 @@
 	p.out.Jobs = append(p.out.Jobs, j)
 }
 
+// In returns the part of the declarations that belongs to one region: the
+// callers at home there and their jobs. Callers that name no region belong to
+// fallback.
+func (d *Declared) In(region, fallback registrar.RegionName) *Declared {
+	out := &Declared{}
+	for _, c := range d.Callers {
+		if c.Region == region || c.Region == "" && region == fallback {
+			out.Callers = append(out.Callers, c)
+		}
+	}
+	for _, j := range d.Jobs {
+		if declaresCaller(out, j.Caller) {
+			out.Jobs = append(out.Jobs, j)
+		}
+	}
+	return out
+}
+
 // Plan returns the steps that bring the configuration in force to what is
 // declared. Callers that are not declared stay, since retirement is final;
 // services that are not declared are canceled.
--- a/internal/settings/loader/fields.go
+++ b/internal/settings/loader/fields.go
@@ -58,7 +58,7 @@
 }
 
 // openSections hold one key for each name that people choose.
-var openSections = []string{"Peers", "Operators"}
+var openSections = []string{"Peers", "Operators", "Regions"}
 
 func setName(f func(*Settings) *string) func(*Settings, string) error {
 	return func(s *Settings, text string) error {
--- a/test/scenarios/cell_test.go
+++ b/test/scenarios/cell_test.go
@@ -36,6 +36,7 @@
 	folder  string
 	cmd     *exec.Cmd
 	voter   bool
+	region  string
 }
 
 type cell struct {
@@ -52,6 +53,7 @@
 	load     *load
 	extra    string
 	interval time.Duration
+	regional bool
 }
 
 func newCell(dir, program string, daemons, voters int) (*cell, error) {
@@ -61,7 +63,7 @@
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	for i := range daemons {
-		p := &process{name: fmt.Sprintf("vm%d", i+1), voter: i < voters}
+		p := &process{name: fmt.Sprintf("vm%d", i+1), voter: i < voters, region: "r1"}
 		var err error
 		if p.http, err = launcher.FreeAddress(); err != nil {
 			return nil, err
@@ -108,7 +110,7 @@
 		}
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[Cell]\nName = test\nVoters = %s\n[Daemon]\nName = %s\nRegion = r1\nZone = a\n", strings.Join(voters, ","), p.name)
+	fmt.Fprintf(&b, "[Cell]\nName = test\nVoters = %s\n[Daemon]\nName = %s\nRegion = %s\nZone = a\n", strings.Join(voters, ","), p.name, p.region)
 	fmt.Fprintf(&b, "ListenHTTP = %s\nListenReplica = %s\n[Peers]\n", p.http, p.replica)
 	for _, x := range c.procs {
 		address := x.replica
@@ -123,6 +125,13 @@
 		fmt.Fprintf(&b, "[Storage]\nSnapshotEntries = 200\n")
 	}
 	b.WriteString("[Timing]\nTargetLease = 3s\nReplaceAfter = 2s\nStartWindow = 1s\nTransit = 1s\n[Log]\nLevel = debug\n")
+	if c.regional {
+		members := make(map[string][]string)
+		for _, x := range c.procs {
+			members[x.region] = append(members[x.region], x.name)
+		}
+		fmt.Fprintf(&b, "[Regions]\nr1 = %s\nr2 = %s\n", strings.Join(members["r1"], ","), strings.Join(members["r2"], ","))
+	}
 	b.WriteString(c.extra)
 	return b.String()
 }
@@ -247,6 +256,49 @@
 	return nil
 }
 
+// between calls f for each pair of daemons in unlike regions.
+func (c *cell) between(f func(from, to *process) error) error {
+	for _, from := range c.procs {
+		for _, to := range c.procs {
+			if from.region == to.region {
+				continue
+			}
+			if err := f(from, to); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// cutRegions makes what one region sends to the other vanish.
+func (c *cell) cutRegions(fromRegion string) error {
+	return c.between(func(from, to *process) error {
+		if from.region != fromRegion {
+			return nil
+		}
+		return c.cut(from.name, to.name)
+	})
+}
+
+// slowLink gives the link between regions the latency and width of the users'.
+func (c *cell) slowLink() error {
+	return c.between(func(from, to *process) error {
+		p := c.proxies[from.name+">"+to.name]
+		for _, text := range []string{
+			`{"name": "late-up", "type": "latency", "stream": "upstream", "attributes": {"latency": 8}}`,
+			`{"name": "late-down", "type": "latency", "stream": "downstream", "attributes": {"latency": 8}}`,
+			`{"name": "narrow-up", "type": "bandwidth", "stream": "upstream", "attributes": {"rate": 400}}`,
+			`{"name": "narrow-down", "type": "bandwidth", "stream": "downstream", "attributes": {"rate": 400}}`,
+		} {
+			if _, err := p.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
 func (c *cell) heal() {
 	for _, p := range c.proxies {
 		p.Toxics.ResetToxics(context.Background())
@@ -357,14 +409,16 @@
 	return c.post(p, "/v1/statements", &operator.StatementCall{Statement: statement})
 }
 
-func (c *cell) startTargets(n int, faults imitator.Faults) error {
+func (c *cell) startTargets(n int, region string, faults imitator.Faults) error {
 	var daemons []string
 	for _, p := range c.procs {
-		daemons = append(daemons, p.http)
+		if p.region == region {
+			daemons = append(daemons, p.http)
+		}
 	}
 	for range n {
 		t := &imitator.Target{
-			Name: registrar.TargetName(fmt.Sprintf("t-%d", len(c.targets)+1)), Region: "r1", Zone: "a",
+			Name: registrar.TargetName(fmt.Sprintf("t-%d", len(c.targets)+1)), Region: registrar.RegionName(region), Zone: "a",
 			Rack:     registrar.RackName(fmt.Sprintf("rack-%d", len(c.targets)/4+1)),
 			Capacity: registrar.Need{CPU: 16000, Memory: 32768}, Slots: 8, Connections: 64,
 			Daemons: daemons, Interval: c.interval, History: c.history, Now: time.Now,
--- a/test/scenarios/load_test.go
+++ b/test/scenarios/load_test.go
@@ -21,10 +21,10 @@
 // must always hold. A caller resends the same key through another daemon until
 // it has an outcome, as tills do.
 
-const token = "scenario-token"
-
 type load struct {
 	cell    *cell
+	caller  string
+	other   *load                      // of the other region's caller
 	ready   atomic.Pointer[[]*process] // as the platform's balancer sees it; nil: all
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
@@ -44,12 +44,14 @@
 	cuts    int
 }
 
-func declare(c *cell) error {
-	sum := sha256.Sum256([]byte(token))
-	call := &operator.ChangeCall{ChangeID: "declare", Ops: []registrar.Op{
-		{PutCaller: &registrar.Caller{Name: "tills", Class: registrar.Urgent, TokenDigest: hex.EncodeToString(sum[:])}},
+// declare makes a caller whose token is its name, at home in the region of a
+// daemon.
+func declare(c *cell, p *process, name registrar.CallerName) error {
+	sum := sha256.Sum256([]byte(name))
+	call := &operator.ChangeCall{ChangeID: registrar.ChangeID("declare-" + name), Ops: []registrar.Op{
+		{PutCaller: &registrar.Caller{Name: name, Class: registrar.Urgent, TokenDigest: hex.EncodeToString(sum[:])}},
 	}}
-	reply, err := c.post(c.running()[0], "/v1/changes", call)
+	reply, err := c.post(p, "/v1/changes", call)
 	if err != nil {
 		return err
 	}
@@ -61,7 +63,11 @@
 
 // startLoad keeps workers busy; every tenth request is not repeatable.
 func startLoad(c *cell, workers int, runMillis int) *load {
-	l := &load{cell: c, results: make(map[string]*request)}
+	return startLoadOf(c, "tills", workers, runMillis)
+}
+
+func startLoadOf(c *cell, caller string, workers int, runMillis int) *load {
+	l := &load{cell: c, caller: caller, results: make(map[string]*request)}
 	ctx, cancel := context.WithCancel(context.Background())
 	l.cancel = cancel
 	for w := range workers {
@@ -69,7 +75,7 @@
 		go func() {
 			defer l.done.Done()
 			for n := 0; ctx.Err() == nil; n++ {
-				r := &request{key: fmt.Sprintf("k-%d-%d", w, n), once: n%10 == 9, began: time.Now()}
+				r := &request{key: fmt.Sprintf("%s-%d-%d", caller, w, n), once: n%10 == 9, began: time.Now()}
 				r.body = fmt.Sprintf(`{"Seq":"%s","RunMillis":%d}`, r.key, runMillis)
 				l.mu.Lock()
 				l.results[r.key] = r
@@ -82,6 +88,18 @@
 	return l
 }
 
+// atHome returns the daemons that a caller's balancer sends to: those of its
+// region. One daemon of the other region gets a share, as a resend there would.
+func (l *load) atHome() []*process {
+	if !l.cell.regional {
+		return l.cell.procs
+	}
+	if l.caller == "tills" {
+		return l.cell.procs[:4]
+	}
+	return l.cell.procs[2:]
+}
+
 // balance sends only to daemons that say that they are ready, as the platform's
 // balancer does.
 func (l *load) balance() {
@@ -109,7 +127,7 @@
 // insist sends a request until it has an outcome or a minute is over.
 func (l *load) insist(r *request, turn int) {
 	for time.Since(r.began) < time.Minute {
-		procs := l.cell.procs
+		procs := l.atHome()
 		if ready := l.ready.Load(); ready != nil && len(*ready) > 0 {
 			procs = *ready
 		}
@@ -143,7 +161,7 @@
 	if err != nil {
 		return "", "", err
 	}
-	req.Header.Set("Authorization", "Bearer "+token)
+	req.Header.Set("Authorization", "Bearer "+l.caller)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return "", "", err
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -16,6 +16,7 @@
 
 	"masticroad/internal/cli/commander"
 	"masticroad/internal/load/imitator"
+	"masticroad/internal/peer/operator"
 )
 
 func TestMain(m *testing.M) {
@@ -68,13 +69,31 @@
 		ts.Defer(c.close)
 		c.extra = strings.Join(args[3:], "\n") + "\n"
 		holderOf(ts).cell = c
+		ts.Setenv("DAEMON", c.procs[0].http)
 		for _, p := range c.procs {
 			ts.Check(c.prepare(p))
 			ts.Check(c.start(p))
 		}
 		ts.Check(c.awaitReady())
-		ts.Check(declare(c))
-		ts.Setenv("DAEMON", c.procs[0].http)
+		ts.Check(declare(c, c.running()[0], "tills"))
+	case "regions":
+		program, err := exec.LookPath("masticroad")
+		ts.Check(err)
+		c, err := newCell(ts.MkAbs("."), program, 6, 6)
+		ts.Check(err)
+		ts.Defer(c.close)
+		c.regional = true
+		for i, p := range c.procs {
+			p.region = []string{"r1", "r2"}[i/3]
+		}
+		holderOf(ts).cell = c
+		for _, p := range c.procs {
+			ts.Check(c.prepare(p))
+			ts.Check(c.start(p))
+		}
+		ts.Check(c.awaitReady())
+		ts.Check(declare(c, c.procs[0], "tills"))
+		ts.Check(declare(c, c.procs[3], "renewals"))
 	case "agree":
 		ts.Check(cellOf(ts).agree())
 	default:
@@ -145,6 +164,12 @@
 		ts.Check(c.isolate(p.name))
 	case "cut":
 		ts.Check(c.cut(args[1], args[2]))
+	case "part": // net part REGION...: what these regions send to others vanishes
+		for _, name := range args[1:] {
+			ts.Check(c.cutRegions(name))
+		}
+	case "slow":
+		ts.Check(c.slowLink())
 	case "heal":
 		c.heal()
 	case "silence":
@@ -161,11 +186,16 @@
 	switch args[0] {
 	case "start":
 		n := number(ts, args[1])
-		ts.Check(c.startTargets(n, faultOf(ts, args[2:])))
+		if c.regional {
+			ts.Check(c.startTargets(n, "r1", imitator.Faults{}))
+			ts.Check(c.startTargets(n, "r2", imitator.Faults{}))
+		} else {
+			ts.Check(c.startTargets(n, "r1", faultOf(ts, args[2:])))
+		}
 		want := len(c.targets)
 		ts.Check(poll(30*time.Second, func() error {
 			reply, err := c.ask(c.running()[0], "SHOW Targets WHERE State = Alive")
-			if err != nil || reply.Table == nil || len(reply.Table.Rows) < want {
+			if err != nil || reply.Table == nil || rowsOf(reply) < want {
 				return fmt.Errorf("%d targets are not up: %v", want, err)
 			}
 			return nil
@@ -221,6 +251,9 @@
 			run = number(ts, args[2])
 		}
 		c.load = startLoad(c, number(ts, args[1]), run)
+		if c.regional {
+			c.load.other = startLoadOf(c, "renewals", number(ts, args[1]), run)
+		}
 	case "balance":
 		go c.load.balance()
 		ts.Check(poll(10*time.Second, func() error {
@@ -230,9 +263,19 @@
 			return nil
 		}))
 	case "stop":
-		n := c.load.stop()
-		problems := c.load.check()
-		ts.Logf("%d requests, longest %s", n, c.load.longest.Round(time.Millisecond))
+		var problems []string
+		for l := c.load; l != nil; l = l.other {
+			n := l.stop()
+			problems = append(problems, l.check()...)
+			ts.Logf("%s: %d requests, longest %s", l.caller, n, l.longest.Round(time.Millisecond))
+			if len(args) > 1 { // load stop LONGEST
+				limit, err := time.ParseDuration(args[1])
+				ts.Check(err)
+				if l.longest > limit {
+					ts.Fatalf("%s waited %s for an outcome", l.caller, l.longest)
+				}
+			}
+		}
 		if len(problems) > 0 {
 			ts.Fatalf("%d broken promises, the first: %s", len(problems), strings.Join(problems[:min(len(problems), 5)], "; "))
 		}
@@ -277,7 +320,7 @@
 				last = fmt.Errorf("%s: %v", args[1], err)
 				continue
 			}
-			if len(reply.Table.Rows) == want {
+			if rowsOf(reply) == want {
 				return nil
 			}
 			return fmt.Errorf("%s gave %d rows, not %d: %v", args[1], len(reply.Table.Rows), want, reply.Table.Rows)
@@ -286,6 +329,17 @@
 	}))
 }
 
+// rowsOf counts the rows of a query over all regions.
+func rowsOf(r *operator.Reply) int {
+	n := len(r.Table.Rows)
+	for _, x := range r.Elsewhere {
+		if x.Reply.Table != nil {
+			n += len(x.Reply.Table.Rows)
+		}
+	}
+	return n
+}
+
 // runningCommand: running N polls until the targets run N tasks.
 func runningCommand(ts *testscript.TestScript, _ bool, args []string) {
 	c := cellOf(ts)
