Send work away from targets that fail it, refuse urgent work early

Cause: with 5 of 50 targets failing all, every one of 4563 requests failed: failing targets look empty, the fullest-first policy took them again and again, and since no other target was tried the work was held to be at fault. At capacity urgent work preempted batches that would have ended in 0.2 s, and waited up to its whole deadline beyond capacity. Change: a kind of work avoids targets on which it fails, a retry avoids the last one, work is at fault only on a fifth of the targets; preemption after 300 ms; urgent work is refused when its predicted wait is above 25 ms and no batch can make room.

--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -21,6 +21,7 @@
 	Window time.Duration
 
 	classes [registrar.ClassCount]rate
+	meanRun float64 // seconds
 }
 
 type rate struct {
@@ -53,21 +54,40 @@
 	k.starts, k.since = 0, now
 }
 
-// Predict returns the expected wait behind ahead waiting items of a class.
-// While nothing waits the wait is 0; without a known rate it is 0 as well.
-func (r *Rates) Predict(c registrar.Class, ahead int, now time.Time) time.Duration {
+// Ended takes in the run time of a finished attempt.
+func (r *Rates) Ended(d time.Duration) {
+	if r.meanRun == 0 {
+		r.meanRun = d.Seconds()
+		return
+	}
+	r.meanRun += meanShare * (d.Seconds() - r.meanRun)
+}
+
+// meanShare is the weight of the newest run time in the mean.
+const meanShare = 0.02
+
+// Predict returns the expected wait behind ahead waiting items of a class,
+// while running tasks hold the targets. Urgent work gets whatever becomes free,
+// so its rate is at least that at which the running tasks end. While nothing
+// waits the wait is 0; without a known rate it is 0 as well.
+func (r *Rates) Predict(c registrar.Class, ahead, running int, now time.Time) time.Duration {
 	k := &r.classes[c]
 	k.roll(r.Window, now)
-	if ahead == 0 || k.perSec <= 0 {
+	perSec := k.perSec
+	if c == registrar.Urgent && r.meanRun > 0 {
+		perSec = max(perSec, float64(running)/r.meanRun)
+	}
+	if ahead == 0 || perSec <= 0 {
 		return 0
 	}
-	return time.Duration(float64(ahead) / k.perSec * float64(time.Second))
+	return time.Duration(float64(ahead) / perSec * float64(time.Second))
 }
 
 // Bounds holds the limits of the queue.
 type Bounds struct {
-	PerCaller int // waiting requests of one caller in a class
-	PerClass  int // waiting requests of a class
+	PerCaller int           // waiting requests of one caller in a class
+	PerClass  int           // waiting requests of a class
+	MaxWait   time.Duration // predicted wait that is accepted; 0: any
 	MinRetry  time.Duration
 	MaxRetry  time.Duration
 }
@@ -91,6 +111,8 @@
 		return &Refusal{"queue bound of the caller reached", b.retry(load.Predicted), false}
 	case load.OfClass >= b.PerClass:
 		return &Refusal{"queue bound of the class reached", b.retry(load.Predicted), false}
+	case b.MaxWait > 0 && load.Predicted > b.MaxWait:
+		return &Refusal{"predicted wait is too long", b.retry(load.Predicted), false}
 	case left >= 0 && load.Predicted > left:
 		return &Refusal{"predicted wait exceeds the deadline", b.retry(load.Predicted - left), false}
 	}
--- a/internal/control/decider/admit.go
+++ b/internal/control/decider/admit.go
@@ -90,15 +90,33 @@
 	load := admitter.Load{
 		OfCaller:  d.queue.LenOf(a.Caller, a.Class),
 		OfClass:   class,
-		Predicted: d.rates.Predict(a.Class, class, now),
+		Predicted: d.rates.Predict(a.Class, d.ahead(a.Class, class), d.running, now),
 	}
 	bounds := admitter.Bounds{
+		MaxWait:   d.maxWait(a.Class),
 		PerCaller: d.policies.QueuePerCaller, PerClass: d.policies.QueuePerClass,
 		MinRetry: minRetryAfter, MaxRetry: maxRetryAfter,
 	}
 	return bounds.Check(load, c.QueueBound, left)
 }
 
+// ahead returns the waiting work of a class that a new request has to wait for.
+// Urgent work that preemption can make room for does not count.
+func (d *Decider) ahead(c registrar.Class, waiting int) int {
+	if c != registrar.Urgent || !d.policies.Preemption {
+		return waiting
+	}
+	return max(waiting-d.preemptible, 0)
+}
+
+// maxWait returns the predicted wait up to which a class is admitted.
+func (d *Decider) maxWait(c registrar.Class) time.Duration {
+	if c == registrar.Urgent {
+		return d.policies.UrgentWait
+	}
+	return 0
+}
+
 const (
 	minRetryAfter = time.Second
 	maxRetryAfter = time.Minute
@@ -141,8 +159,13 @@
 
 func (d *Decider) item(t *registrar.Task) *queuer.Item {
 	run := d.learned.RunTime(workOf(t), t.RunTime, learnQuantile)
+	failedOn := registrar.TargetName("")
+	if t.Failures > 0 {
+		failedOn = t.Target
+	}
 	return &queuer.Item{
-		ID: t.ID, Caller: t.Caller, Class: t.Class, Kind: t.Kind, Need: t.Need, Count: 1, Once: t.Once,
+		FailedOn: failedOn,
+		ID:       t.ID, Caller: t.Caller, Class: t.Class, Kind: t.Kind, Need: t.Need, Count: 1, Once: t.Once,
 		Job: t.Job, Region: t.Region, Since: t.Submitted, Deadline: t.Deadline, RunTime: run,
 		Daemon: t.Daemon, Life: t.Life, Failures: t.Failures, Key: t.Key, Attempt: t.Attempt,
 	}
--- a/internal/control/decider/decider.go
+++ b/internal/control/decider/decider.go
@@ -79,6 +79,9 @@
 	largest  registrar.Need
 	used     map[registrar.CallerName]registrar.Need
 	nextTask registrar.TaskID
+	running  int // assigned tasks
+	// preemptible counts the assigned batch tasks that urgent work may stop.
+	preemptible int
 
 	sessions     map[registrar.DaemonName]*session
 	daemonLeases leaser.Table[registrar.DaemonName]
@@ -132,6 +135,7 @@
 	fresh    map[registrar.RequestKey]*registrar.Task
 	changed  map[registrar.ChangeID]registrar.Digest
 	jobs     map[registrar.JobKey]bool
+	avoid    map[predictor.Work]map[registrar.TargetName]bool
 	leftOver int // work that waited after the last placement of the round
 	// admitted tells which event of the round admits a task.
 	admitted map[registrar.TaskID]int
@@ -154,6 +158,7 @@
 	d.queue.AgeStep = d.policies.AgeStep
 	d.queue.Share = d.share
 	d.delayed = nil
+	d.running, d.preemptible = 0, 0
 	d.targets = make(map[registrar.TargetName]*targetView)
 	d.order = nil
 	d.used = make(map[registrar.CallerName]registrar.Need)
@@ -244,6 +249,7 @@
 		case registrar.Queued:
 			d.enqueue(t, now)
 		case registrar.Assigned:
+			d.countRunning(t.Class, t.Once, 1)
 			d.used[t.Caller] = d.used[t.Caller].Plus(t.Charge)
 			d.watchDeadline(t)
 		}
@@ -260,6 +266,7 @@
 
 		admitted: make(map[registrar.TaskID]int),
 		leftOver: -1,
+		avoid:    make(map[predictor.Work]map[registrar.TargetName]bool),
 	}
 	d.roundPeers = make(map[registrar.JobKey][]*placer.Target)
 }
@@ -393,6 +400,14 @@
 	return d.used[name].DominantShare(d.total) / weight
 }
 
+// countRunning follows the number of assigned tasks.
+func (d *Decider) countRunning(c registrar.Class, once bool, n int) {
+	d.running += n
+	if c == registrar.Batch && !once {
+		d.preemptible += n
+	}
+}
+
 // live returns a task that has not been touched in this round.
 func (d *Decider) live(id registrar.TaskID) *registrar.Task {
 	t := d.State.Tasks[id]
--- a/internal/control/decider/place.go
+++ b/internal/control/decider/place.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -95,7 +96,7 @@
 }
 
 func (d *Decider) want(it *queuer.Item, charge registrar.Need, now time.Time) *placer.Want {
-	w := &placer.Want{Need: charge, Region: it.Region, Once: it.Once}
+	w := &placer.Want{Need: charge, Region: it.Region, Once: it.Once, Avoid: d.avoidedBy(it, now)}
 	if it.Kind == registrar.Services {
 		w.Peers = d.peersOf(it)
 	}
@@ -105,6 +106,30 @@
 	return w
 }
 
+// avoided returns the targets on which this kind of work fails, worked out once
+// a round.
+func (d *Decider) avoided(it *queuer.Item, now time.Time) map[registrar.TargetName]bool {
+	work := workOfItem(it)
+	if set, ok := d.round.avoid[work]; ok {
+		return set
+	}
+	set := d.judge.Avoid(work, now)
+	d.round.avoid[work] = set
+	return set
+}
+
+// avoidedBy adds the target on which an item failed last to those that its kind
+// of work avoids.
+func (d *Decider) avoidedBy(it *queuer.Item, now time.Time) map[registrar.TargetName]bool {
+	set := d.avoided(it, now)
+	if it.FailedOn == "" || set[it.FailedOn] {
+		return set
+	}
+	own := map[registrar.TargetName]bool{it.FailedOn: true}
+	maps.Copy(own, set)
+	return own
+}
+
 func (d *Decider) peersOf(it *queuer.Item) *placer.Peers {
 	p := &placer.Peers{}
 	for _, t := range d.State.ByJob[registrar.JobKey{Caller: it.Caller, Name: it.Job}] {
@@ -132,6 +157,7 @@
 	target.Probing = false
 	d.used[it.Caller] = d.used[it.Caller].Plus(charge)
 	d.round.touched[id] = true
+	d.countRunning(it.Class, it.Once, 1)
 	delete(d.preempting, id)
 	d.Counters.Assigned++
 	d.rates.Started(it.Class, now)
--- a/internal/control/decider/policies_test.go
+++ b/internal/control/decider/policies_test.go
@@ -47,6 +47,7 @@
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
 	w.caller(registrar.Caller{Name: "shop"})
+	w.change(registrar.Op{PutPolicy: &registrar.Policy{Name: "Queue.UrgentWait", Value: "0s"}})
 	f := w.target("t1", "a", "r", large, 8)
 	victim := w.admit(decider.Admit{Caller: "shop", Class: registrar.Batch, Need: large})
 	w.run(0)
@@ -248,6 +249,38 @@
 	c.Assert(w.state.Targets["t1"].Quarantine, quicktest.Equals, 0)
 }
 
+// Targets that fail at once look empty, so the fullest-first policy would take
+// them again and again. Work goes to other targets after a few failures.
+func TestFailingTargetsDoNotDrawTheWork(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(t, 0)
+	w.caller(registrar.Caller{Name: "shop"})
+	for i := range 20 {
+		w.target(fmt.Sprintf("t%02d", i), fmt.Sprint("z", i%3), "r", large, 8)
+	}
+	failed := 0
+	for range 200 {
+		key := w.admit(decider.Admit{Caller: "shop"})
+		for range 20 {
+			w.run(50 * time.Millisecond)
+			for _, f := range w.targets {
+				for id := range f.running {
+					r := decider.ResultDone
+					if f.rec.Name == "t00" || f.rec.Name == "t01" {
+						r = decider.ResultFailed
+					}
+					w.report(f, id, r)
+				}
+				w.announce(f)
+			}
+		}
+		if t := w.task(key); t != nil && t.Outcome == registrar.Failed {
+			failed++
+		}
+	}
+	c.Assert(failed <= 2, quicktest.IsTrue, quicktest.Commentf("%d failed", failed))
+}
+
 func TestWorkThatFailsEverywhereSparesTheTargets(t *testing.T) {
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
@@ -293,6 +326,36 @@
 	c.Assert(w.count(registrar.Assigned), quicktest.Equals, 1)
 }
 
+// At the limit, urgent work is refused early rather than queued for long, but
+// not while batch work can make room for it.
+func TestUrgentWorkIsRefusedBeforeItWaitsLong(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(t, 0)
+	w.caller(registrar.Caller{Name: "shop"})
+	f := w.target("t1", "a", "r", large, 8)
+	for range 8 {
+		w.admit(decider.Admit{Caller: "shop", Class: registrar.Batch})
+	}
+	w.run(0)
+	for range 8 {
+		w.admit(decider.Admit{Caller: "shop"})
+	}
+	w.run(time.Second)
+	c.Assert(w.d.Counters.Refused, quicktest.Equals, 0)
+	w.pass(3 * time.Second) // all of it preempted
+	for id, as := range f.running {
+		if as.Task%2 == 0 {
+			w.report(f, id, decider.ResultDone) // a second each
+		}
+	}
+	w.run(0)
+	for range 50 {
+		w.admit(decider.Admit{Caller: "shop"})
+	}
+	w.run(0)
+	c.Assert(w.d.Counters.Refused > 40, quicktest.IsTrue)
+}
+
 func TestDeadlinePassesInTheQueue(t *testing.T) {
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
--- a/internal/control/decider/policy.go
+++ b/internal/control/decider/policy.go
@@ -43,6 +43,8 @@
 	RestartPerSecond  float64
 	RoundDelay        time.Duration
 	MaxRepeatable     int
+	UrgentWait        time.Duration
+	PreemptAfter      time.Duration
 }
 
 // Knob describes one policy.
@@ -63,16 +65,18 @@
 	{"Queue.PerCaller", "10000", "waiting requests of one caller in a class before refusal", number(func(p *Policies) *int { return &p.QueuePerCaller })},
 	{"Queue.PerClass", "20000", "waiting requests of a class before refusal", number(func(p *Policies) *int { return &p.QueuePerClass })},
 	{"Queue.DeadlineAdmission", "true", "refuse a request whose predicted wait exceeds its deadline", boolean(func(p *Policies) *bool { return &p.DeadlineAdmission })},
-	{"Retry.MaxAttempts", "5", "starts of one task that may fail", number(func(p *Policies) *int { return &p.MaxAttempts })},
+	{"Queue.UrgentWait", "25ms", "refuse an urgent request whose predicted wait is longer; 0 admits any", duration(func(p *Policies) *time.Duration { return &p.UrgentWait })},
+	{"Retry.MaxAttempts", "8", "starts of one task that may fail", number(func(p *Policies) *int { return &p.MaxAttempts })},
 	{"Retry.Ratio", "0.2", "retries allowed for each first attempt of a caller", fraction(func(p *Policies) *float64 { return &p.RetryRatio })},
 	{"Retry.Burst", "50", "retries that a caller may save up", fraction(func(p *Policies) *float64 { return &p.RetryBurst })},
 	{"Retry.BackoffBase", "100ms", "upper bound of the first delay before a retry", duration(func(p *Policies) *time.Duration { return &p.BackoffBase })},
 	{"Retry.BackoffMax", "30s", "upper bound of any delay before a retry", duration(func(p *Policies) *time.Duration { return &p.BackoffMax })},
 	{"Preemption.Enabled", "true", "stop batch work when urgent work finds no room", boolean(func(p *Policies) *bool { return &p.Preemption })},
+	{"Preemption.After", "300ms", "time for which urgent work waits before it preempts", duration(func(p *Policies) *time.Duration { return &p.PreemptAfter })},
 	{"Preemption.MaxPerTask", "3", "times that one task may be preempted", number(func(p *Policies) *int { return &p.MaxPreemptions })},
 	{"Quota.Borrow", "true", "batch work may use idle capacity above its caller's quota, and is preempted first", boolean(func(p *Policies) *bool { return &p.Borrow })},
 	{"AllAtOnce.HoldTime", "30s", "time for which room is held for one all-at-once job", duration(func(p *Policies) *time.Duration { return &p.HoldTime })},
-	{"Quarantine.MinBlame", "4", "failures to a target's account before quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineBlame })},
+	{"Quarantine.MinBlame", "1.5", "failures to a target's account before quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineBlame })},
 	{"Quarantine.MaxRate", "0.5", "failures per attempt that lead to quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineRate })},
 	{"Quarantine.Pause", "10s", "time before the first probe; doubled at each step", duration(func(p *Policies) *time.Duration { return &p.QuarantinePause })},
 	{"Quarantine.MaxPause", "10m", "longest time between probes", duration(func(p *Policies) *time.Duration { return &p.QuarantineMax })},
--- a/internal/control/decider/preempt.go
+++ b/internal/control/decider/preempt.go
@@ -26,7 +26,8 @@
 	if !d.policies.Preemption || it.Class != registrar.Urgent && !d.ownsQuota(it, charge) {
 		return
 	}
-	if now.Before(d.preempting[it.ID]) {
+	waited := time.Duration(registrar.MillisOf(now)-it.Since) * time.Millisecond
+	if waited < d.policies.PreemptAfter || now.Before(d.preempting[it.ID]) {
 		return
 	}
 	victims := d.cheapestVictims(it, charge, now)
--- a/internal/control/decider/reports.go
+++ b/internal/control/decider/reports.go
@@ -50,6 +50,7 @@
 		return
 	}
 	if r.Result == ResultDone && r.RunTime > 0 {
+		d.rates.Ended(r.RunTime)
 		d.learned.AddRunTime(workOf(t), r.RunTime)
 	}
 	rec := d.State.Targets[t.Target]
@@ -143,13 +144,18 @@
 	if t.Deadline > 0 && registrar.MillisOf(now) >= t.Deadline {
 		return false
 	}
-	if d.callerGone(t.Caller) || d.judge.FaultOfWork(workOf(t), minTargetsForFault) && t.Failures > 0 {
+	if d.callerGone(t.Caller) || d.judge.FaultOfWork(workOf(t), max(minTargetsForFault, len(d.order)/faultShare)) && t.Failures > 0 {
 		return false
 	}
 	return d.budget.Spend(t.Caller)
 }
 
-const minTargetsForFault = 3
+// Work is at fault itself when it fails on most of at least minTargetsForFault
+// targets and of one in faultShare.
+const (
+	minTargetsForFault = 3
+	faultShare         = 5
+)
 
 func (d *Decider) maxAttempts(t *registrar.Task) int {
 	if j := d.State.Jobs[registrar.JobKey{Caller: t.Caller, Name: t.Job}]; j != nil && j.Retries > 0 {
@@ -246,6 +252,7 @@
 	if t.State != registrar.Assigned {
 		return
 	}
+	d.countRunning(t.Class, t.Once, -1)
 	d.used[t.Caller] = d.used[t.Caller].Minus(t.Charge)
 	if v := d.targets[t.Target]; v != nil {
 		v.place.Release(t.Charge)
--- a/internal/control/placer/placer.go
+++ b/internal/control/placer/placer.go
@@ -35,6 +35,8 @@
 	// Peers holds where the other replicas of a service run, for policies that
 	// spread. It is nil for other work.
 	Peers *Peers
+	// Avoid names targets that are taken only when no other has room.
+	Avoid map[registrar.TargetName]bool
 	// Blocked, when set, reports whether a target is held for other work.
 	Blocked func(*Target) bool
 }
@@ -107,14 +109,19 @@
 // or nil when none has room.
 func Pick[P Policy](p P, targets []*Target, w *Want) *Target {
 	var best *Target
-	bestScore := 0.0
+	bestScore, bestAvoided := 0.0, false
 	for _, t := range targets {
 		if !t.admits(w) {
 			continue
 		}
+		avoided := len(w.Avoid) > 0 && w.Avoid[t.Name]
 		score := p.Score(t, w)
-		if best == nil || score > bestScore {
-			best, bestScore = t, score
+		better := score > bestScore
+		if avoided != bestAvoided {
+			better = bestAvoided
+		}
+		if best == nil || better {
+			best, bestScore, bestAvoided = t, score, avoided
 		}
 	}
 	return best
--- a/internal/control/quarantiner/quarantiner.go
+++ b/internal/control/quarantiner/quarantiner.go
@@ -32,7 +32,8 @@
 
 // spread holds how one kind of work fares on each target.
 type spread struct {
-	on map[registrar.TargetName]*record
+	on     map[registrar.TargetName]*record
+	failed bool // some record may hold a failure
 }
 
 // Verdict is what follows from an outcome.
@@ -110,6 +111,34 @@
 	return seen >= minTargets && rate > 0.8
 }
 
+// Avoid returns the targets on which work has lately failed more often than
+// not. They are tried again when the record has faded.
+func (j *Judge) Avoid(w predictor.Work, now time.Time) map[registrar.TargetName]bool {
+	s := j.works[w]
+	if s == nil || !s.failed {
+		return nil
+	}
+	var out map[registrar.TargetName]bool
+	for name, r := range s.on {
+		if r.blame == 0 {
+			continue
+		}
+		j.fade(r, now)
+		if r.blame < leastRecord || r.blame < r.attempts/2 {
+			continue
+		}
+		if out == nil {
+			out = make(map[registrar.TargetName]bool)
+		}
+		out[name] = true
+	}
+	s.failed = out != nil
+	return out
+}
+
+// leastRecord is the weight below which a failure is forgotten.
+const leastRecord = 1.5
+
 // Observe takes in one outcome and says whether the target is to be
 // quarantined. Step is the present step of the target.
 func (j *Judge) Observe(w predictor.Work, name registrar.TargetName, failed bool, step int, now time.Time) Verdict {
@@ -124,6 +153,7 @@
 		return Verdict{}
 	}
 	onTarget.blame++
+	s.failed = true
 	r.blame += 1 - rate
 	if r.blame < j.MinBlame || r.blame/r.attempts < j.MaxRate {
 		return Verdict{}
--- a/internal/control/queuer/queuer.go
+++ b/internal/control/queuer/queuer.go
@@ -31,6 +31,7 @@
 	Daemon   registrar.DaemonName
 	Life     registrar.Incarnation
 	Failures int
+	FailedOn registrar.TargetName // the last attempt failed there
 	Key      registrar.Key
 	Attempt  registrar.Attempt  // of the last start
 	Tasks    []registrar.TaskID // of an all-at-once job
--- a/internal/settings/loader/fields.go
+++ b/internal/settings/loader/fields.go
@@ -38,7 +38,7 @@
 	{"Storage", "SnapshotBytes", "4194304", false, "a whole number from 65536", "bytes of the log before a snapshot", setNumber(65536, func(s *Settings) *int { return &s.SnapshotBytes })},
 	{"Limits", "MaxBody", "1048576", false, "bytes from 1024", "largest body of a request", setNumber(1024, func(s *Settings) *int { return &s.MaxBody })},
 	{"Limits", "MaxAnswer", "1048576", false, "bytes from 1024", "largest answer of a target", setNumber(1024, func(s *Settings) *int { return &s.MaxAnswer })},
-	{"Limits", "MaxInFlight", "4096", false, "a whole number from 1", "requests that this daemon holds at once", setNumber(1, func(s *Settings) *int { return &s.MaxInFlight })},
+	{"Limits", "MaxInFlight", "1024", false, "a whole number from 1", "requests that this daemon holds at once", setNumber(1, func(s *Settings) *int { return &s.MaxInFlight })},
 	{"Limits", "TargetConnections", "64", false, "a whole number from 1", "connections from this daemon to one target", setNumber(1, func(s *Settings) *int { return &s.TargetConnections })},
 	{"Limits", "StopGrace", "30s", false, "a duration", "time for requests in flight at a planned stop", setDuration(func(s *Settings) *time.Duration { return &s.StopGrace })},
 	{"Limits", "BodyTimeout", "10s", false, "a duration", "time in which the body of a request must arrive", setDuration(func(s *Settings) *time.Duration { return &s.BodyTimeout })},
