--- a/internal/control/decider/admit.go
+++ b/internal/control/decider/admit.go
@@ -263,10 +263,10 @@
 	}
 }
 
-// notRunOutcome returns the outcome of a task that ends while it is queued: an
-// earlier attempt may have run.
+// notRunOutcome returns the outcome of a task that ends while it is queued. It
+// was not run when none of its attempts ever started.
 func notRunOutcome(t *registrar.Task) registrar.Outcome {
-	if t.Attempt == 0 {
+	if t.Attempt == t.Never {
 		return registrar.NotRun
 	}
 	return registrar.Failed
--- a/internal/control/decider/policy.go
+++ b/internal/control/decider/policy.go
@@ -65,7 +65,7 @@
 	{"Queue.PerCaller", "10000", "waiting requests of one caller in a class before refusal", number(func(p *Policies) *int { return &p.QueuePerCaller })},
 	{"Queue.PerClass", "20000", "waiting requests of a class before refusal", number(func(p *Policies) *int { return &p.QueuePerClass })},
 	{"Queue.DeadlineAdmission", "true", "refuse a request whose predicted wait exceeds its deadline", boolean(func(p *Policies) *bool { return &p.DeadlineAdmission })},
-	{"Queue.UrgentWait", "25ms", "refuse an urgent request whose predicted wait is longer; 0 admits any", duration(func(p *Policies) *time.Duration { return &p.UrgentWait })},
+	{"Queue.UrgentWait", "5ms", "refuse an urgent request whose predicted wait is longer; 0 admits any", duration(func(p *Policies) *time.Duration { return &p.UrgentWait })},
 	{"Retry.MaxAttempts", "8", "starts of one task that may fail", number(func(p *Policies) *int { return &p.MaxAttempts })},
 	{"Retry.Ratio", "0.2", "retries allowed for each first attempt of a caller", fraction(func(p *Policies) *float64 { return &p.RetryRatio })},
 	{"Retry.Burst", "50", "retries that a caller may save up", fraction(func(p *Policies) *float64 { return &p.RetryBurst })},
--- a/internal/control/decider/promises_test.go
+++ b/internal/control/decider/promises_test.go
@@ -233,6 +233,25 @@
 	c.Assert(round.Down["vm1"].Settled, quicktest.HasLen, 1)
 }
 
+// Attempts of which no byte was sent don't count: work that is not repeatable is
+// assigned again, and is NotRun when its deadline passes before any start.
+func TestAttemptsThatNeverStarted(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(t, 0)
+	w.caller(registrar.Caller{Name: "shop"})
+	f := w.target("t1", "a", "r", large, 8)
+	key := w.admit(decider.Admit{Caller: "shop", Once: true, Deadline: registrar.MillisOf(w.now.Add(3 * time.Second))})
+	w.run(0)
+	w.report(f, w.task(key).ID, decider.ResultNotStarted)
+	w.run(0)
+	w.pass(time.Second)
+	c.Assert(w.task(key).Attempt, quicktest.Equals, registrar.Attempt(2))
+	w.report(f, w.task(key).ID, decider.ResultNotStarted)
+	w.change(registrar.Op{DrainTarget: &registrar.TargetMark{Name: "t1", On: true}})
+	w.pass(5 * time.Second)
+	c.Assert(w.task(key).Outcome, quicktest.Equals, registrar.NotRun)
+}
+
 func TestNoLeaseIsGrantedWithoutTheLeadersOwn(t *testing.T) {
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
--- a/internal/control/decider/reports.go
+++ b/internal/control/decider/reports.go
@@ -164,21 +164,20 @@
 	return d.policies.MaxAttempts
 }
 
-// notStarted handles an attempt of which no byte was sent.
+// notStarted handles an attempt of which no byte was sent. Such an attempt does
+// not count, so work that is not repeatable may be assigned again.
 func (d *Decider) notStarted(t *registrar.Task, r *Report, now time.Time) {
 	switch {
 	case t.Canceled:
 		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: neverOutcome(t), Reason: t.Reason}, now)
-	case t.Once:
-		d.end(t, registrar.TaskEnded{ID: t.ID, Attempt: t.Attempt, Outcome: registrar.NotRun, Reason: r.Reason}, now)
 	default:
-		d.requeue(t, registrar.TaskRequeued{Reason: r.Reason, Failed: r.Result == ResultNotStarted}, now)
+		d.requeue(t, registrar.TaskRequeued{Reason: r.Reason, Failed: r.Result == ResultNotStarted, Never: true}, now)
 	}
 }
 
 // neverOutcome is the outcome of a task whose present attempt never started.
 func neverOutcome(t *registrar.Task) registrar.Outcome {
-	if t.Attempt == 1 {
+	if t.Attempt == t.Never+1 {
 		return registrar.NotRun
 	}
 	return registrar.Failed
--- a/internal/control/registrar/apply.go
+++ b/internal/control/registrar/apply.go
@@ -235,6 +235,9 @@
 		if e.Preempted {
 			t.Preempted++
 		}
+		if e.Never {
+			t.Never++
+		}
 	})
 }
 
--- a/internal/control/registrar/change.go
+++ b/internal/control/registrar/change.go
@@ -236,6 +236,7 @@
 	NotBefore  Millis  `cbor:"5,keyasint,omitempty"`
 	Checkpoint string  `cbor:"6,keyasint,omitempty"`
 	Preempted  bool    `cbor:"7,keyasint,omitempty"`
+	Never      bool    `cbor:"8,keyasint,omitempty"` // the attempt provably never started
 }
 
 // TaskAttached gives a queued request another daemon, which holds its body.
--- a/internal/control/registrar/records.go
+++ b/internal/control/registrar/records.go
@@ -89,6 +89,7 @@
 	Canceled   bool          `cbor:"28,keyasint,omitempty"`
 	Preempted  int           `cbor:"29,keyasint,omitempty"`
 	Region     RegionName    `cbor:"30,keyasint,omitempty"`
+	Never      Attempt       `cbor:"32,keyasint,omitempty"` // attempts that provably never started
 	Status     int           `cbor:"31,keyasint,omitempty"` // HTTP status of the answer
 }
 
--- a/internal/load/generator/generator.go
+++ b/internal/load/generator/generator.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -194,14 +195,15 @@
 	outcome := ""
 	resends := 0
 	for {
-		outcome = g.post(ctx, g.Daemons[(turn+resends)%len(g.Daemons)], s, &form)
+		var after time.Duration
+		outcome, after = g.post(ctx, g.Daemons[(turn+resends)%len(g.Daemons)], s, &form)
 		if outcome != outcomeCut && outcome != outcomeUnavailable || ctx.Err() != nil {
 			break
 		}
 		resends++
 		select {
 		case <-ctx.Done():
-		case <-time.After(resendPause):
+		case <-time.After(resendPause + after):
 		}
 	}
 	took := time.Since(at)
@@ -218,20 +220,21 @@
 	}
 }
 
-// post sends one request and returns its outcome, or what became of the call.
-func (g *Generator) post(ctx context.Context, address string, s *Stream, form *requestForm) string {
+// post sends one request and returns its outcome, or what became of the call,
+// and the time that the daemon asks to wait before a resend.
+func (g *Generator) post(ctx context.Context, address string, s *Stream, form *requestForm) (string, time.Duration) {
 	data, err := json.Marshal(form)
 	if err != nil {
-		return "Unsent"
+		return "Unsent", 0
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/requests", bytes.NewReader(data))
 	if err != nil {
-		return "Unsent"
+		return "Unsent", 0
 	}
 	req.Header.Set("Authorization", "Bearer "+g.Tokens[string(s.Caller)])
 	resp, err := g.client.Do(req)
 	if err != nil {
-		return outcomeCut
+		return outcomeCut, 0
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var a struct {
@@ -241,17 +244,18 @@
 	}
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswers))
 	if err != nil || json.Unmarshal(text, &a) != nil {
-		return outcomeCut
+		return outcomeCut, 0
 	}
 	switch {
 	case a.Outcome == registrar.Done.String() && a.Body != form.Body:
-		return "WrongAnswer"
+		return "WrongAnswer", 0
 	case a.Outcome != "":
-		return a.Outcome
+		return a.Outcome, 0
 	case a.Pending:
-		return "Pending"
+		return "Pending", 0
 	case resp.StatusCode == http.StatusServiceUnavailable:
-		return outcomeUnavailable
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // absent: at once
+		return outcomeUnavailable, time.Duration(seconds) * time.Second
 	}
-	return fmt.Sprintf("Status%d", resp.StatusCode)
+	return fmt.Sprintf("Status%d", resp.StatusCode), 0
 }
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -38,7 +38,8 @@
 	MaxInFlight int
 	BodyTimeout time.Duration
 
-	slots chan struct{}
+	slots   chan struct{}
+	patient chan struct{} // for requests that are not urgent
 }
 
 // Answer is the JSON form of a request's outcome.
@@ -79,6 +80,7 @@
 // Routes adds the interface to an application.
 func (s *Server) Routes(app *iris.Application) {
 	s.slots = make(chan struct{}, s.MaxInFlight)
+	s.patient = make(chan struct{}, max(s.MaxInFlight/patientShare, 1))
 	app.Post("/v1/requests", s.post)
 	app.Get("/v1/requests/{key:string}", s.get)
 	app.Delete("/v1/requests/{key:string}", s.cancel)
@@ -115,13 +117,11 @@
 	if c == nil {
 		return
 	}
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	default:
-		writeResult(ctx, "", gateway.Result{Unavailable: true, Reason: "this daemon holds too many requests", RetryAfter: time.Second})
+	if !take(s.slots) {
+		writeResult(ctx, "", tooMany)
 		return
 	}
+	defer func() { <-s.slots }()
 	data, ok := s.readBody(ctx)
 	if !ok {
 		return
@@ -131,11 +131,34 @@
 		write(ctx, http.StatusBadRequest, Answer{Reason: "the request is not valid", Findings: findings})
 		return
 	}
+	if r.Admit.Class != registrar.Urgent {
+		if !take(s.patient) {
+			writeResult(ctx, r.Admit.Key, tooMany)
+			return
+		}
+		defer func() { <-s.patient }()
+	}
 	wait, cancel := context.WithTimeout(ctx.Request().Context(), waitOf(ctx))
 	defer cancel()
 	writeResult(ctx, r.Admit.Key, s.Gateway.Handle(wait, r))
 }
 
+// patientShare is the part of the requests in flight, as one in so many, that
+// may be other than urgent. The rest is kept for urgent ones.
+const patientShare = 2
+
+var tooMany = gateway.Result{Unavailable: true, Reason: "this daemon holds too many requests", RetryAfter: time.Second}
+
+// take takes a place if there is one.
+func take(places chan struct{}) bool {
+	select {
+	case places <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 // readBody reads the whole body within the time and size allowed.
 func (s *Server) readBody(ctx iris.Context) ([]byte, bool) {
 	control := http.NewResponseController(ctx.ResponseWriter().Naive())
