--- /dev/null
+++ b/internal/daemon/runner/metrics.go
@@ -0,0 +1,52 @@
+package runner
+
+import (
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/peer/replica"
+	"masticroad/internal/state/replicator"
+)
+
+// This file adds the metrics of the parts to the daemon's page of metrics.
+
+// gauges adds the metrics that are read when they are asked for. Those of the
+// leader's decisions are 0 on other daemons.
+func (r *Runner) gauges() {
+	m := r.metrics
+	for class := range registrar.ClassCount {
+		m.LabeledGauge("queue_length", "Waiting work by class, at the leader.", map[string]string{"class": registrar.Class(class).String()},
+			func() float64 { return float64(r.control.Load().Queued[class]) })
+	}
+	m.Gauge("packing_ratio", "Share of the scarcest resource that is charged, at the leader.", func() float64 { return r.control.Load().Packing })
+	m.Gauge("targets_alive", "Targets that hold a lease, at the leader.", func() float64 { return float64(r.control.Load().Targets) })
+	m.Gauge("targets_quarantined", "Targets in quarantine, at the leader.", func() float64 { return float64(r.control.Load().Quarantined) })
+	m.Gauge("daemons_leased", "Daemons that hold a lease, at the leader.", func() float64 { return float64(r.control.Load().Daemons) })
+	for _, p := range append(r.client.Peers, replica.Peer{Name: replica.Incoming}) {
+		t := r.traffic.Of(p.Name)
+		m.Counter("peer_bytes_total", "Bytes between daemons by peer.", map[string]string{"direction": "sent", "peer": string(p.Name)}, func() float64 { return float64(t.Sent.Load()) })
+		m.Counter("peer_bytes_total", "Bytes between daemons by peer.", map[string]string{"direction": "received", "peer": string(p.Name)}, func() float64 { return float64(t.Received.Load()) })
+	}
+	m.Gauge("leader", "1 while this daemon leads.", func() float64 {
+		if r.node.Status().Role == replicator.Leader {
+			return 1
+		}
+		return 0
+	})
+	m.Gauge("term", "Election term.", func() float64 { return float64(r.node.Status().Term) })
+	m.Gauge("revision", "Configuration revision in force here.", func() float64 { return float64(r.control.View().Revision) })
+	m.Gauge("leased", "1 while this daemon's lease is in force.", func() float64 {
+		if r.gate.Leased() {
+			return 1
+		}
+		return 0
+	})
+	m.Gauge("requests_in_flight", "Requests that wait for their outcome.", func() float64 {
+		n, _ := r.gate.InFlight()
+		return float64(n)
+	})
+	m.Gauge("attempts_in_flight", "Attempts that this daemon has started.", func() float64 {
+		_, n := r.gate.InFlight()
+		return float64(n)
+	})
+	m.Counter("control_bytes_total", "Bytes between daemons.", map[string]string{"direction": "sent"}, func() float64 { return float64(r.traffic.Sent.Load()) })
+	m.Counter("control_bytes_total", "Bytes between daemons.", map[string]string{"direction": "received"}, func() float64 { return float64(r.traffic.Received.Load()) })
+}
--- /dev/null
+++ b/internal/daemon/runner/open.go
@@ -0,0 +1,171 @@
+package runner
+
+import (
+	"fmt"
+	"math/rand"
+	"net"
+
+	"github.com/juju/errors"
+
+	"masticroad/internal/control/decider"
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/controller"
+	"masticroad/internal/daemon/gateway"
+	"masticroad/internal/metrics/recorder"
+	"masticroad/internal/peer/certifier"
+	"masticroad/internal/peer/operator"
+	"masticroad/internal/peer/replica"
+	"masticroad/internal/peer/target"
+	"masticroad/internal/settings/loader"
+	"masticroad/internal/state/replicator"
+	"masticroad/internal/state/storer"
+)
+
+// This file makes the parts of a daemon from its settings.
+
+func (r *Runner) open() error {
+	r.life = registrar.Incarnation(r.Now().UnixNano())
+	r.traffic = &replica.Traffic{}
+	r.metrics = recorder.New()
+	r.ready = make(chan struct{})
+	r.nodeDone = make(chan struct{})
+	if err := r.listen(); err != nil {
+		return err
+	}
+	if err := r.openTLS(); err != nil {
+		return err
+	}
+	if err := r.openStorage(); err != nil {
+		return err
+	}
+	r.openParts()
+	return nil
+}
+
+func (r *Runner) listen() error {
+	var err error
+	if r.HTTP == nil {
+		if r.HTTP, err = net.Listen("tcp", r.Settings.ListenHTTP); err != nil {
+			return errors.Annotate(err, "daemon: HTTP address")
+		}
+	}
+	if r.Replica == nil {
+		if r.Replica, err = net.Listen("tcp", r.Settings.ListenReplica); err != nil {
+			return errors.Annotate(err, "daemon: replica address")
+		}
+	}
+	return nil
+}
+
+func (r *Runner) openTLS() error {
+	s := r.Settings
+	if s.TLSCert == "" {
+		return nil
+	}
+	c := &certifier.Certifier{CertFile: s.TLSCert, KeyFile: s.TLSKey, CAFile: s.TLSCA, Now: r.Now}
+	if err := c.Open(); err != nil {
+		return err
+	}
+	r.creds = c.Credentials()
+	return nil
+}
+
+// openStorage opens the data folder. A folder without an identity gets a new
+// one: the replica joins as a learner.
+func (r *Runner) openStorage() error {
+	s := r.Settings
+	fresh := replicator.ReplicaID(fmt.Sprintf("%s.%x", s.Name, r.life))
+	want := storer.Identity{Cell: s.Cell, Group: replicator.GroupID(s.Group()), Replica: fresh}
+	if s.DataFolder == "" {
+		r.identity = want
+		return nil
+	}
+	_, known, err := storer.ReadIdentity(s.DataFolder)
+	if err != nil {
+		return err
+	}
+	if !known {
+		if err := storer.Prepare(s.DataFolder, want); err != nil {
+			return err
+		}
+	}
+	r.store = &storer.Storer{Folder: s.DataFolder}
+	r.identity, r.saved, err = r.store.Open(want)
+	return err
+}
+
+func (r *Runner) openParts() {
+	s := r.Settings
+	r.openNode()
+	r.openControl()
+	r.client = &replica.Client{Credentials: r.creds, Traffic: r.traffic}
+	for _, p := range s.Members() {
+		if p.Name != s.Name {
+			r.client.Peers = append(r.client.Peers, replica.Peer{Name: p.Name, Address: p.Address})
+		}
+	}
+	r.client.Open()
+	r.node.Sender = r.client
+	targets := &target.Client{MaxConns: s.TargetConnections, MaxAnswer: s.MaxAnswer, Transit: s.Transit}
+	targets.Open()
+	r.gate = &gateway.Gateway{
+		Daemon: registrar.Daemon{
+			Name: s.Name, Address: r.address(s.Name), HTTPAddr: r.HTTP.Addr().String(), Region: s.Region, Zone: s.Zone, Life: r.life,
+		},
+		Client: r.client, Targets: targets, Log: r.Log.Named("gateway"), Now: r.Now,
+		View: r.control.View, Leader: r.leader, Watch: r.metrics.Observe, Read: r.control.Read,
+		Term: func() registrar.Term { return r.node.Status().Term },
+	}
+	r.gate.Open()
+	r.operators = &operator.Service{
+		Controller: r.control, Node: r.node, Client: r.client, Leader: r.leader, Self: r.address(s.Name), Region: s.Region,
+	}
+	r.openRegions()
+	r.gauges()
+}
+
+func (r *Runner) openNode() {
+	s := r.Settings
+	timing := replicator.DefaultTiming
+	timing.Heartbeat, timing.ElectionMin, timing.ElectionMax = s.Heartbeat, s.ElectionMin, s.ElectionMax
+	timing.ReplaceAfter = s.ReplaceAfter
+	core := &replicator.Core{
+		Group: r.identity.Group, ID: r.identity.Replica, Durable: r.store != nil, Timing: timing,
+		Rand: rand.New(rand.NewSource(int64(r.life))),
+	}
+	core.Start(r.saved, r.Now())
+	r.node = &replicator.Node{Core: core, Storage: replicator.MemoryStorage{}, Now: r.Now}
+	if r.store != nil {
+		r.node.Storage = r.store
+	}
+	r.node.Open()
+}
+
+func (r *Runner) openControl() {
+	s := r.Settings
+	timing := decider.DefaultTiming
+	timing.DaemonLease, timing.TargetLease = s.DaemonLease, s.TargetLease
+	timing.StartWindow, timing.Transit = s.StartWindow, s.Transit
+	d := &decider.Decider{State: registrar.New(), Rand: rand.New(rand.NewSource(int64(r.life))), Timing: timing, Cell: s.Cell}
+	d.FirstTask = registrar.TaskID(s.Group()-1)<<taskIDBits + 1
+	r.control = &controller.Controller{
+		Node: r.node, Decider: d, Log: r.Log.Named("control"), Now: r.Now,
+		MaxEntries: s.SnapshotEntries, MaxBytes: s.SnapshotBytes,
+		Changed: func() { r.gate.Wake() },
+		Observe: r.metrics.ObserveJob,
+	}
+	r.control.Open()
+}
+
+// Prepare writes the identity of a first voter into its data folder.
+func Prepare(s *loader.Settings) error {
+	id := storer.Identity{Cell: s.Cell, Group: replicator.GroupID(s.Group()), Replica: firstReplica(string(s.Name))}
+	for _, name := range s.GroupVoters() {
+		id.Voters = append(id.Voters, firstReplica(name))
+	}
+	return storer.Prepare(s.DataFolder, id)
+}
+
+func firstReplica(name string) replicator.ReplicaID {
+	return replicator.ReplicaID(name + ".1")
+}
--- a/internal/load/imitator/imitator.go
+++ b/internal/load/imitator/imitator.go
@@ -4,14 +4,12 @@
 package imitator
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
@@ -214,15 +212,6 @@
 	return n
 }
 
-func (t *Target) acknowledge(w http.ResponseWriter, s *target.Start, f Faults) {
-	if s.Background {
-		t.label(w, target.AttemptRef{Task: s.Task, Attempt: s.Attempt}, nil)
-		w.WriteHeader(http.StatusAccepted)
-		return
-	}
-	cut(w)
-}
-
 func (t *Target) begin(s *target.Start) *run {
 	r := &run{start: *s, began: t.Now(), stop: make(chan string, 1), done: make(chan struct{})}
 	t.mu.Lock()
@@ -301,71 +290,6 @@
 	}
 }
 
-func (t *Target) answer(w http.ResponseWriter, ref target.AttemptRef, f Faults) {
-	t.mu.Lock()
-	st := t.ended[ref].status
-	t.mu.Unlock()
-	if f.Late > 0 {
-		time.Sleep(f.Late)
-	}
-	if f.LoseAnswers || st.State == target.StateStopped {
-		cut(w)
-		return
-	}
-	body := st.Answer
-	if st.State == target.StateFailed {
-		body = []byte(st.Reason)
-	}
-	if f.Mislabel {
-		ref.Task++
-	}
-	if f.Duplicate {
-		t.answerTwice(w, ref, body)
-		return
-	}
-	t.label(w, ref, body)
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(st.Status)
-	if f.Truncate {
-		_, _ = w.Write(body[:len(body)/2])
-		cut(w)
-		return
-	}
-	_, _ = w.Write(body) // the daemon asks again
-}
-
-// answerTwice sends the same answer twice on one connection, which then stays
-// open.
-func (t *Target) answerTwice(w http.ResponseWriter, ref target.AttemptRef, body []byte) {
-	h, ok := w.(http.Hijacker)
-	if !ok {
-		return
-	}
-	c, _, err := h.Hijack()
-	if err != nil {
-		return
-	}
-	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%s: %d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		target.HeaderTask, ref.Task, target.HeaderAttempt, ref.Attempt, target.HeaderDigest, target.DigestOf(body), len(body), body)
-	_, _ = c.Write([]byte(text + text)) // the daemon asks again
-}
-
-func (t *Target) label(w http.ResponseWriter, ref target.AttemptRef, body []byte) {
-	h := w.Header()
-	h.Set(target.HeaderTask, strconv.FormatUint(uint64(ref.Task), 10))
-	h.Set(target.HeaderAttempt, strconv.FormatUint(uint64(ref.Attempt), 10))
-	h.Set(target.HeaderDigest, target.DigestOf(body))
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-}
-
-func cut(w http.ResponseWriter) {
-	if h, ok := w.(http.Hijacker); ok {
-		if c, _, err := h.Hijack(); err == nil {
-			_ = c.Close()
-		}
-	}
-}
-
 // stop stops an attempt and waits until it has ended.
 func (t *Target) stop(ref target.AttemptRef, f Faults) {
 	t.mu.Lock()
@@ -382,137 +306,3 @@
 	}
 	<-r.done
 }
-
-func (t *Target) writeStatus(w http.ResponseWriter, ref target.AttemptRef) {
-	t.mu.Lock()
-	var st target.TaskStatus
-	if e := t.ended[ref]; e != nil {
-		st = e.status
-	} else {
-		st = target.TaskStatus{Task: ref.Task, Attempt: ref.Attempt, State: target.StateAbsent}
-		if r := t.running[ref.Task]; r != nil && r.start.Attempt == ref.Attempt {
-			st.State = target.StateRunning
-		}
-	}
-	t.mu.Unlock()
-	data, err := json.Marshal(st)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	_, _ = w.Write(data) // the daemon asks again
-}
-
-func (t *Target) announceSoon() {
-	select {
-	case t.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (t *Target) announceLoop(ctx context.Context) {
-	interval := t.Interval
-	if interval == 0 {
-		interval = defaultInterval
-	}
-	client := &http.Client{Timeout: announceTimeout}
-	for ctx.Err() == nil {
-		wait := interval
-		if !t.announce(ctx, client) {
-			wait = min(retryAnnounce, interval)
-		}
-		t.checkLease()
-		select {
-		case <-ctx.Done():
-		case <-t.wake:
-		case <-time.After(wait):
-		}
-	}
-}
-
-// checkLease stops everything once the lease is over.
-func (t *Target) checkLease() {
-	t.mu.Lock()
-	over := !t.lease.IsZero() && t.Now().After(t.lease)
-	t.mu.Unlock()
-	if over {
-		t.stopAll()
-	}
-}
-
-func (t *Target) announcement() target.Announcement {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.seq++
-	a := target.Announcement{
-		Name: t.Name, Address: t.Address(), Region: t.Region, Zone: t.Zone, Rack: t.Rack, Capacity: t.Capacity,
-		Slots: t.Slots, Connections: t.Connections, Incarnation: t.life, Seq: t.seq, Leaving: t.leaving,
-	}
-	factor := t.faults.UsageFactor
-	if factor == 0 {
-		factor = 1
-	}
-	for id, r := range t.running {
-		use := r.start.Need
-		use.CPU = registrar.MilliCPU(float64(use.CPU) * factor)
-		use.Memory = registrar.MiB(float64(use.Memory) * factor)
-		a.Running = append(a.Running, target.Running{Task: id, Attempt: r.start.Attempt, Background: r.start.Background, Usage: use})
-	}
-	sort.Slice(a.Running, func(i, j int) bool { return a.Running[i].Task < a.Running[j].Task })
-	for _, e := range t.ended {
-		if e.announce {
-			a.Ended = append(a.Ended, e.status)
-		}
-	}
-	return a
-}
-
-func (t *Target) announce(ctx context.Context, client *http.Client) bool {
-	t.mu.Lock()
-	silent := t.faults.Silent
-	t.mu.Unlock()
-	if silent || len(t.Daemons) == 0 {
-		return false
-	}
-	a := t.announcement()
-	body, err := json.Marshal(a)
-	if err != nil {
-		return false
-	}
-	t.next++
-	u := "http://" + t.Daemons[t.next%len(t.Daemons)] + target.PathAnnounce
-	sent := t.Now()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, bytes.NewReader(body))
-	if err != nil {
-		return false
-	}
-	resp, err := client.Do(req)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	var reply target.AnnounceReply
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&reply) != nil {
-		_, _ = io.Copy(io.Discard, resp.Body)
-		return false
-	}
-	t.take(&reply, sent)
-	return true
-}
-
-func (t *Target) take(reply *target.AnnounceReply, sent time.Time) {
-	t.mu.Lock()
-	if reply.LeaseMillis > 0 {
-		t.lease = sent.Add(time.Duration(reply.LeaseMillis) * time.Millisecond)
-	}
-	faults := t.faults
-	for _, ref := range reply.Forget {
-		if e := t.ended[ref]; e != nil {
-			e.announce = false
-		}
-	}
-	t.mu.Unlock()
-	for _, ref := range reply.Stop {
-		t.stop(ref, faults)
-	}
-}
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -61,79 +61,6 @@
 	Address string
 }
 
-// RegionMembers are the daemons of one region, which keep a log of their own.
-type RegionMembers struct {
-	Name    registrar.RegionName
-	Daemons []registrar.DaemonName
-}
-
-// Members returns the daemons that keep a log together with this one.
-func (s *Settings) Members() []Peer {
-	own := s.regionOf(s.Name)
-	if own == nil {
-		return s.Peers
-	}
-	var out []Peer
-	for _, p := range s.Peers {
-		if slices.Contains(own.Daemons, p.Name) {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
-// Elsewhere returns the daemons of each other region.
-func (s *Settings) Elsewhere() map[registrar.RegionName][]Peer {
-	out := make(map[registrar.RegionName][]Peer)
-	own := s.regionOf(s.Name)
-	for i := range s.Regions {
-		r := &s.Regions[i]
-		if r == own {
-			continue
-		}
-		for _, p := range s.Peers {
-			if slices.Contains(r.Daemons, p.Name) {
-				out[r.Name] = append(out[r.Name], p)
-			}
-		}
-	}
-	return out
-}
-
-// GroupVoters returns the first voters of this daemon's log.
-func (s *Settings) GroupVoters() []string {
-	own := s.regionOf(s.Name)
-	if own == nil {
-		return s.Voters
-	}
-	var out []string
-	for _, v := range s.Voters {
-		if slices.Contains(own.Daemons, registrar.DaemonName(v)) {
-			out = append(out, v)
-		}
-	}
-	return out
-}
-
-// Group returns the number of this daemon's log, from 1.
-func (s *Settings) Group() int {
-	for i := range s.Regions {
-		if slices.Contains(s.Regions[i].Daemons, s.Name) {
-			return i + 1
-		}
-	}
-	return 1
-}
-
-func (s *Settings) regionOf(name registrar.DaemonName) *RegionMembers {
-	for i := range s.Regions {
-		if slices.Contains(s.Regions[i].Daemons, name) {
-			return &s.Regions[i]
-		}
-	}
-	return nil
-}
-
 // Operator may change the cell.
 type Operator struct {
 	Name        string
@@ -274,54 +201,6 @@
 	}
 }
 
-func (p *parsing) readRegions() {
-	for _, k := range p.file.Section("Regions").Keys() {
-		r := RegionMembers{Name: registrar.RegionName(k.Name())}
-		for _, name := range strings.Split(k.String(), ",") {
-			name = strings.TrimSpace(name)
-			if !p.isPeer(name) {
-				p.add("Regions", k.Name(), fmt.Sprintf("%q is not in [Peers]", name), p.peerNames())
-				continue
-			}
-			if p.settings.regionOf(registrar.DaemonName(name)) != nil {
-				p.add("Regions", k.Name(), fmt.Sprintf("%q is in two regions", name), "each daemon once")
-			}
-			r.Daemons = append(r.Daemons, registrar.DaemonName(name))
-		}
-		p.settings.Regions = append(p.settings.Regions, r)
-	}
-	slices.SortFunc(p.settings.Regions, func(a, b RegionMembers) int { return strings.Compare(string(a.Name), string(b.Name)) })
-}
-
-// checkRegions checks that each region has voters of its own and that the
-// daemon's place agrees.
-func (p *parsing) checkRegions() {
-	s := p.settings
-	if len(s.Regions) == 0 {
-		return
-	}
-	for _, peer := range s.Peers {
-		if s.regionOf(peer.Name) == nil {
-			p.add("Regions", "", fmt.Sprintf("%q is in no region", peer.Name), "each daemon of [Peers] once")
-		}
-	}
-	for i := range s.Regions {
-		r := &s.Regions[i]
-		n := 0
-		for _, v := range s.Voters {
-			if slices.Contains(r.Daemons, registrar.DaemonName(v)) {
-				n++
-			}
-		}
-		if n%2 == 0 {
-			p.add("Regions", string(r.Name), fmt.Sprintf("%d of its daemons vote", n), "an odd number of voters in each region")
-		}
-	}
-	if own := s.regionOf(s.Name); own != nil && own.Name != s.Region {
-		p.add("Daemon", "Region", fmt.Sprintf("%q, but [Regions] has %s in %q", s.Region, s.Name, own.Name), string(own.Name))
-	}
-}
-
 // checkTogether checks what concerns more than one key.
 func (p *parsing) checkTogether() {
 	s := p.settings
@@ -409,23 +288,3 @@
 	b.WriteString("| Operators | name of an operator | | SHA-256 in hex | digest of the operator's token |\n")
 	return b.String()
 }
-
-// Survives tells which losses the layout of the voters survives.
-func Survives(s *Settings) []string {
-	if len(s.Regions) == 0 {
-		n := len(s.Voters)
-		return []string{fmt.Sprintf("%d voters of %d daemons: the cell goes on after the loss of any %d of the voters", n, len(s.Peers), (n-1)/2)}
-	}
-	var out []string
-	for i := range s.Regions {
-		r := &s.Regions[i]
-		n := 0
-		for _, v := range s.Voters {
-			if slices.Contains(r.Daemons, registrar.DaemonName(v)) {
-				n++
-			}
-		}
-		out = append(out, fmt.Sprintf("region %s: %d voters of %d daemons; it goes on after the loss of any %d of them, and while it is cut off from other regions", r.Name, n, len(r.Daemons), (n-1)/2))
-	}
-	return out
-}
--- a/internal/state/replicator/leader.go
+++ b/internal/state/replicator/leader.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -195,25 +196,32 @@
 // catchUpEntries is the lag of a learner that is normal between two messages.
 const catchUpEntries = 1000
 
-// advanceCommit commits the highest index that a majority saved, if its entry
-// is of the present term.
-func (c *Core) advanceCommit() {
-	match := make([]registrar.Index, 0, len(c.members))
+// quorumValue returns the highest value that a majority of the voters has
+// reached. A voter that was not heard of has reached 0.
+func quorumValue[T cmp.Ordered](c *Core, own T, of func(*progress) T) T {
+	var zero T
+	values := make([]T, 0, len(c.members))
 	for _, id := range c.members {
 		switch p := c.progress[id]; {
 		case id == c.ID:
-			match = append(match, c.stable)
+			values = append(values, own)
 		case p != nil:
-			match = append(match, p.match)
+			values = append(values, of(p))
 		default:
-			match = append(match, 0)
+			values = append(values, zero)
 		}
 	}
-	if len(match) == 0 {
-		return
+	if len(values) == 0 {
+		return zero
 	}
-	slices.Sort(match)
-	i := match[len(match)-quorumOf(c.members)]
+	slices.Sort(values)
+	return values[len(values)-quorumOf(c.members)]
+}
+
+// advanceCommit commits the highest index that a majority saved, if its entry
+// is of the present term.
+func (c *Core) advanceCommit() {
+	i := quorumValue(c, c.stable, func(p *progress) registrar.Index { return p.match })
 	if t, _ := c.log.term(i); i > c.commit && t == c.term {
 		c.commit = i
 		c.stepDownIfRemoved()
@@ -232,19 +240,7 @@
 // countRounds finds the newest round that a quorum answered. Its send time
 // bounds the leader's own lease and releases reads.
 func (c *Core) countRounds() {
-	seqs := make([]uint64, 0, len(c.members))
-	for _, id := range c.members {
-		switch p := c.progress[id]; {
-		case id == c.ID:
-			seqs = append(seqs, c.seq)
-		case p != nil:
-			seqs = append(seqs, p.seq)
-		default:
-			seqs = append(seqs, 0)
-		}
-	}
-	slices.Sort(seqs)
-	acked := seqs[len(seqs)-quorumOf(c.members)]
+	acked := quorumValue(c, c.seq, func(p *progress) uint64 { return p.seq })
 	for len(c.rounds) > 0 && c.rounds[0].seq <= acked {
 		c.ackedAt = c.rounds[0].sent
 		c.rounds = c.rounds[1:]
