Find a lost region within a second, and hand queued requests on

Cause: in the scenario of the cut a till waited 10 s. Ruled out: elections, sessions, leases of daemons. Found: announcements that the balancer sent to the wrong region hung 4 s each while that daemon found out that the link was cut, so the target's lease ran short; and a queued request whose daemon was killed stayed with it for 10 s when the caller had asked another daemon before the lease ended. Change: an open call to another region is given up when its daemon does not answer a ping, the region is then down until a probe answers; targets announced in the wrong region are passed on, so that each is kept in one log; a queued request goes to a daemon that waits for it.

--- a/internal/control/decider/admit.go
+++ b/internal/control/decider/admit.go
@@ -189,9 +189,8 @@
 	if sameLife {
 		return
 	}
-	if t.State == registrar.Queued && !d.daemonAlive(t.Daemon, t.Life, now) && !d.round.touched[t.ID] {
-		d.round.touched[t.ID] = true
-		d.emit(registrar.TaskAttached{ID: t.ID, Daemon: s.daemon.Name, Life: s.daemon.Life})
+	if t.State == registrar.Queued && d.sessionFor(t.Daemon, t.Life) == nil && !d.round.touched[t.ID] {
+		d.attach(t.ID, s)
 		return
 	}
 	d.watch(registrar.RequestKey{Caller: a.Caller, Key: a.Key}, s.daemon.Name)
@@ -212,6 +211,27 @@
 	d.admit(s, a, now)
 }
 
+// attach gives a queued request to a daemon that holds its body. Nothing of it
+// was assigned, so the earlier daemon can't start it.
+func (d *Decider) attach(id registrar.TaskID, s *session) {
+	d.round.touched[id] = true
+	d.emit(registrar.TaskAttached{ID: id, Daemon: s.daemon.Name, Life: s.daemon.Life})
+}
+
+// adopt attaches a queued request whose daemon is gone to another one that
+// waits for its outcome.
+func (d *Decider) adopt(it *queuer.Item) {
+	if d.round.touched[it.ID] || d.State.Tasks[it.ID] == nil {
+		return
+	}
+	for _, name := range d.watchers[registrar.RequestKey{Caller: it.Caller, Key: it.Key}] {
+		if s := d.sessions[name]; s != nil && s.connected {
+			d.attach(it.ID, s)
+			return
+		}
+	}
+}
+
 func replyOf(t *registrar.Task) Reply {
 	return Reply{
 		Caller: t.Caller, Key: t.Key, Task: t.ID, Attempt: t.Attempt, Outcome: t.Outcome,
--- a/internal/control/decider/place.go
+++ b/internal/control/decider/place.go
@@ -45,6 +45,7 @@
 	}
 	if it.Kind == registrar.Request && d.sessionFor(it.Daemon, it.Life) == nil {
 		d.noteOrphan(it, now)
+		d.adopt(it)
 		r.Skip(it)
 		return false
 	}
--- a/internal/control/decider/promises_test.go
+++ b/internal/control/decider/promises_test.go
@@ -252,6 +252,28 @@
 	c.Assert(w.task(key).Outcome, quicktest.Equals, registrar.NotRun)
 }
 
+// A queued request whose daemon is gone goes to a daemon that waits for it, also
+// when that one asked while the first was still there.
+func TestQueuedRequestGoesToADaemonThatWaitsForIt(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(t, 0)
+	w.caller(registrar.Caller{Name: "shop"})
+	hello := &decider.Upstream{Hello: &registrar.Daemon{Name: "vm2", Life: 1}, Renewal: &decider.Renewal{Seq: 1, Revision: w.state.Revision}}
+	w.input("vm2", hello)
+	w.run(0)
+	admit := decider.Admit{Caller: "shop", Key: "q", Need: small}
+	w.input("vm2", &decider.Upstream{Admits: []decider.Admit{admit}}) // no target yet
+	w.run(0)
+	w.input("vm1", &decider.Upstream{Admits: []decider.Admit{admit}})
+	w.run(0)
+	c.Assert(w.task("q").Daemon, quicktest.Equals, registrar.DaemonName("vm2"))
+	w.inputs = append(w.inputs, decider.Input{Daemon: "vm2", Life: 1, Closed: true})
+	f := w.target("t1", "a", "r", large, 8)
+	w.pass(time.Second)
+	c.Assert(w.task("q").Daemon, quicktest.Equals, registrar.DaemonName("vm1"))
+	c.Assert(f.running, quicktest.HasLen, 1)
+}
+
 func TestNoLeaseIsGrantedWithoutTheLeadersOwn(t *testing.T) {
 	c := quicktest.New(t)
 	w := newWorld(t, 0)
--- a/internal/daemon/runner/regions.go
+++ b/internal/daemon/runner/regions.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"crypto/subtle"
+	"fmt"
+	"net/http"
 	"time"
 
 	"masticroad/internal/control/registrar"
 	"masticroad/internal/peer/region"
 	"masticroad/internal/peer/replica"
+	"masticroad/internal/peer/target"
 	"masticroad/internal/state/replicator"
 )
 
@@ -35,9 +38,6 @@
 // resolve decides changes of every region that were left undecided, while this
 // daemon leads.
 func (r *Runner) resolve(ctx context.Context) {
-	if r.router == nil {
-		return
-	}
 	tick := time.NewTicker(resolveInterval)
 	defer tick.Stop()
 	for {
@@ -52,6 +52,23 @@
 	}
 }
 
+// announceAtHome passes the announcement of a target of another region on.
+func (r *Runner) announceAtHome(ctx context.Context, home registrar.RegionName, body []byte) (status int, reply []byte, known bool) {
+	if home == r.Settings.Region {
+		return 0, nil, false
+	}
+	if _, ok := r.router.Elsewhere[home]; !ok {
+		text := fmt.Sprintf("announcement: region %q is not one of this cell\n", home)
+		return http.StatusBadRequest, []byte(text), true
+	}
+	call := &replica.RelayCall{Method: http.MethodPost, Path: target.PathAnnounce, Body: body}
+	out, err := r.router.Relay(ctx, home, call)
+	if err != nil {
+		return http.StatusServiceUnavailable, []byte(err.Error()), true
+	}
+	return out.Status, out.Body, true
+}
+
 // knows reports whether a token's digest belongs to a caller of this region.
 func (r *Runner) knows(digest string) bool {
 	for _, c := range r.control.View().Callers {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -123,7 +123,10 @@
 	go func() { failed <- errors.Annotate(r.control.Run(ctx), "control") }()
 	go r.client.Run(ctx)
 	go r.gate.Run(ctx)
-	go r.resolve(ctx)
+	if r.router != nil {
+		go r.router.Run(ctx)
+		go r.resolve(ctx)
+	}
 	server := &replica.Server{Handler: handler{r}, Listener: r.Replica, Credentials: r.creds, Traffic: r.traffic}
 	go func() { failed <- errors.Annotate(server.Run(ctx), "replica server") }()
 	go func() { failed <- r.serveHTTP() }()
--- a/internal/daemon/runner/serve.go
+++ b/internal/daemon/runner/serve.go
@@ -61,6 +61,9 @@
 	operators := &operator.Server{Service: r.operators, Tokens: tokens}
 	operators.Routes(app)
 	targets := &target.Server{Announcer: r.gate}
+	if r.router != nil {
+		targets.Home = r.announceAtHome
+	}
 	targets.Routes(app)
 	p := &platform.Server{Ready: r.notReady, Metrics: r.metrics.Handler()}
 	p.Routes(app)
--- a/internal/peer/region/router.go
+++ b/internal/peer/region/router.go
@@ -15,18 +15,19 @@
 	"masticroad/internal/peer/replica"
 )
 
-// This file holds the choice of a daemon in another region. A daemon that could
-// not be reached is not tried again for a while, so that calls fail at once
-// while the link is down.
+// This file holds the choice of a daemon in another region. While the link is
+// down calls fail at once, and an open call is given up when the daemon that
+// carries it no longer answers.
 
 // HeaderRelayed marks a call that was passed on once, so that it is not passed
 // on again.
 const HeaderRelayed = "Masticroad-Relayed"
 
 const (
-	reachTimeout = 2 * time.Second
-	restTime     = 2 * time.Second
-	trustTime    = time.Second // after an answer a daemon is held to be there
+	reachTimeout  = 500 * time.Millisecond
+	trustTime     = time.Second            // after an answer a daemon is held to be there
+	watchInterval = 500 * time.Millisecond // between looks at the daemon of an open call
+	probeInterval = time.Second            // between looks at a region that is down
 )
 
 // UnreachableError tells that no daemon of a region could be reached.
@@ -50,7 +51,7 @@
 
 	mu      sync.Mutex
 	reached map[string]time.Time // when an address last answered
-	rests   map[string]time.Time // addresses that are not tried before a time
+	down    map[registrar.RegionName]bool
 	turn    int
 }
 
@@ -69,32 +70,68 @@
 	return slices.Min(append(r.Regions(), r.Own))
 }
 
-// Relay passes a call on to some daemon of a region. A call that may have been
-// carried out is not passed on a second time.
+// Relay passes a call on to some daemon of a region. While a region is down
+// calls fail at once; Run finds out when it is back.
 func (r *Router) Relay(ctx context.Context, name registrar.RegionName, call *replica.RelayCall) (*replica.RelayReply, error) {
-	last := errors.New("every daemon there failed a moment ago")
+	if r.isDown(name) {
+		return nil, &UnreachableError{name, errors.New("it could not be reached a moment ago")}
+	}
+	last := errors.New("it has no daemons")
 	for _, p := range r.candidates(name) {
-		if err := r.reach(ctx, p.Address); err != nil {
-			r.rest(p.Address)
-			last = err
+		if last = r.reach(ctx, p.Address); last != nil {
 			continue
 		}
-		reply, err := r.Client.Relay(ctx, p.Address, call)
-		if err == nil {
-			r.noteReached(p.Address)
-			return reply, nil
+		reply, err := r.carry(ctx, name, p.Address, call)
+		if err != nil {
+			return nil, &UnreachableError{name, err}
 		}
-		r.rest(p.Address)
-		return nil, &UnreachableError{name, err}
+		return reply, nil
 	}
+	r.noteDown(name)
 	return nil, &UnreachableError{name, last}
 }
 
-// reach makes sure that a daemon answers before a call is handed to it.
+// carry passes a call to a daemon that was reached, and gives it up when the
+// daemon can no longer be reached.
+func (r *Router) carry(ctx context.Context, name registrar.RegionName, address string, call *replica.RelayCall) (*replica.RelayReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.watch(ctx, name, address, cancel)
+	reply, err := r.Client.Relay(ctx, address, call)
+	if err == nil {
+		r.noteReached(address)
+	}
+	return reply, err
+}
+
+// watch ends an open call, and holds the region to be down until Run finds a
+// daemon that answers, when the daemon that carries the call does not.
+func (r *Router) watch(ctx context.Context, name registrar.RegionName, address string, cancel func()) {
+	tick := time.NewTicker(watchInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if r.ping(ctx, address) != nil && ctx.Err() == nil {
+			r.noteDown(name)
+			cancel()
+			return
+		}
+	}
+}
+
+// reach makes sure that a daemon answers.
 func (r *Router) reach(ctx context.Context, address string) error {
 	if r.reachedLately(address) {
 		return nil
 	}
+	return r.ping(ctx, address)
+}
+
+func (r *Router) ping(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	_, err := r.Client.Relay(ctx, address, &replica.RelayCall{})
@@ -119,16 +156,59 @@
 	r.reached[address] = r.Now()
 }
 
-func (r *Router) candidates(name registrar.RegionName) []replica.Peer {
+// isDown reports whether a region could not be reached when it was last tried.
+func (r *Router) isDown(name registrar.RegionName) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.Now()
-	var out []replica.Peer
-	for _, p := range r.Elsewhere[name] {
-		if !now.Before(r.rests[p.Address]) {
-			out = append(out, p)
+	return r.down[name]
+}
+
+func (r *Router) noteDown(name registrar.RegionName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down == nil {
+		r.down = make(map[registrar.RegionName]bool)
+	}
+	r.down[name] = true
+}
+
+// Run looks after the regions that are down until ctx ends.
+func (r *Router) Run(ctx context.Context) {
+	tick := time.NewTicker(probeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		for _, name := range r.Regions() {
+			if r.isDown(name) && r.probe(ctx, name) {
+				r.noteUp(name)
+			}
 		}
 	}
+}
+
+// probe reports whether any daemon of a region answers.
+func (r *Router) probe(ctx context.Context, name registrar.RegionName) bool {
+	return slices.ContainsFunc(r.candidates(name), func(p replica.Peer) bool {
+		return r.reach(ctx, p.Address) == nil
+	})
+}
+
+func (r *Router) noteUp(name registrar.RegionName) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.down, name)
+}
+
+// candidates returns the daemons of a region, beginning with another one each
+// time.
+func (r *Router) candidates(name registrar.RegionName) []replica.Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := slices.Clone(r.Elsewhere[name])
 	if len(out) > 1 {
 		r.turn++
 		n := r.turn % len(out)
@@ -136,12 +216,3 @@
 	}
 	return out
 }
-
-func (r *Router) rest(address string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.rests == nil {
-		r.rests = make(map[string]time.Time)
-	}
-	r.rests[address] = r.Now().Add(restTime)
-}
--- a/internal/peer/target/server.go
+++ b/internal/peer/target/server.go
@@ -9,6 +9,8 @@
 	"net/http"
 
 	"github.com/kataras/iris/v12"
+
+	"masticroad/internal/control/registrar"
 )
 
 // This file takes in the announcements of targets.
@@ -22,6 +24,10 @@
 // Server takes in announcements. The exported fields are set before Routes.
 type Server struct {
 	Announcer Announcer
+	// Home, when set, passes an announcement on to its target's region; known is
+	// false when the target belongs to this one. Each target is kept in one log,
+	// so that it is charged once.
+	Home func(ctx context.Context, region registrar.RegionName, body []byte) (status int, reply []byte, known bool)
 }
 
 const maxAnnouncement = 1 << 20
@@ -45,6 +51,13 @@
 		_, _ = ctx.WriteString("announcement: " + err.Error() + "\n") // the target may be gone
 		return
 	}
+	if s.Home != nil {
+		if status, reply, known := s.Home(ctx.Request().Context(), a.Region, data); known {
+			ctx.StatusCode(status)
+			_, _ = ctx.Write(reply) // the target may be gone
+			return
+		}
+	}
 	reply, ok := s.Announcer.Announce(ctx.Request().Context(), &a)
 	if !ok {
 		ctx.StatusCode(http.StatusServiceUnavailable)
--- a/test/scenarios/load_test.go
+++ b/test/scenarios/load_test.go
@@ -188,6 +188,20 @@
 	return len(l.results)
 }
 
+// slowest describes the request that waited longest for its outcome.
+func (l *load) slowest() string {
+	var worst *request
+	for _, r := range l.results {
+		if worst == nil || r.ended.Sub(r.began) > worst.ended.Sub(worst.began) {
+			worst = r
+		}
+	}
+	if worst == nil {
+		return "none"
+	}
+	return fmt.Sprintf("%s from %s to %s, %d calls cut: %s", worst.key, worst.began.Format("15:04:05.000"), worst.ended.Format("15:04:05.000"), worst.cuts, l.cell.history.Trace(worst.body))
+}
+
 // check returns every broken promise.
 func (l *load) check() []string {
 	problems := l.cell.history.Violations()
