--- a/internal/cli/commander/demo.go
+++ b/internal/cli/commander/demo.go
@@ -53,6 +53,8 @@
 	cell  *launcher.Cell
 	waits map[registrar.Class][]time.Duration
 	mu    sync.Mutex
+
+	submitted time.Time // of the jobs
 }
 
 func (d *demo) run(ctx context.Context, keep bool) error {
@@ -224,6 +226,7 @@
 }
 
 func (d *demo) submitJobs(ctx context.Context) error {
+	d.submitted = time.Now()
 	jobs := []struct {
 		token string
 		job   jobBody
@@ -300,9 +303,19 @@
 }
 
 func (d *demo) printWaits() {
-	for class, list := range d.waits {
+	for caller, class := range map[registrar.CallerName]registrar.Class{"sorting": registrar.Batch, "valuations": registrar.Standard} {
+		for _, began := range d.cell.History.Begins(caller) {
+			d.note(class, began.Sub(d.submitted))
+		}
+	}
+	d.printf("waiting times by class; for urgent work until the answer, for jobs until the start:\n")
+	for class := range registrar.Class(registrar.ClassCount) {
+		list := d.waits[class]
+		if len(list) == 0 {
+			continue
+		}
 		slices.Sort(list)
-		d.printf("class %s: %d answers, p50 %s, p99 %s\n", class, len(list), list[len(list)/2].Round(100*time.Microsecond), list[len(list)*99/100].Round(100*time.Microsecond))
+		d.printf("  %s: %d, p50 %s, p99 %s\n", class, len(list), list[len(list)/2].Round(100*time.Microsecond), list[len(list)*99/100].Round(100*time.Microsecond))
 	}
 }
 
--- a/internal/control/decider/messages.go
+++ b/internal/control/decider/messages.go
@@ -125,17 +125,16 @@
 
 // Report tells the result of an attempt.
 type Report struct {
-	Task       registrar.TaskID      `cbor:"1,keyasint"`
-	Attempt    registrar.Attempt     `cbor:"2,keyasint"`
-	Result     Result                `cbor:"3,keyasint"`
-	Reason     string                `cbor:"4,keyasint,omitempty"`
-	Answer     []byte                `cbor:"5,keyasint,omitempty"` // only if not repeatable
-	Status     int                   `cbor:"6,keyasint,omitempty"`
-	Checkpoint string                `cbor:"7,keyasint,omitempty"`
-	Usage      *registrar.Need       `cbor:"8,keyasint,omitempty"`
-	RunTime    time.Duration         `cbor:"9,keyasint,omitempty"`
-	ByTarget   bool                  `cbor:"10,keyasint,omitempty"` // taken from an announcement
-	TargetLife registrar.Incarnation `cbor:"11,keyasint,omitempty"`
+	Task       registrar.TaskID  `cbor:"1,keyasint"`
+	Attempt    registrar.Attempt `cbor:"2,keyasint"`
+	Result     Result            `cbor:"3,keyasint"`
+	Reason     string            `cbor:"4,keyasint,omitempty"`
+	Answer     []byte            `cbor:"5,keyasint,omitempty"` // only if not repeatable
+	Status     int               `cbor:"6,keyasint,omitempty"`
+	Checkpoint string            `cbor:"7,keyasint,omitempty"`
+	Usage      *registrar.Need   `cbor:"8,keyasint,omitempty"`
+	RunTime    time.Duration     `cbor:"9,keyasint,omitempty"`
+	ByTarget   bool              `cbor:"10,keyasint,omitempty"` // taken from an announcement
 }
 
 // Announcement is a target's sign of life as a daemon passes it on. Unless
@@ -178,7 +177,6 @@
 	VerbStop       Verb = iota + 1
 	VerbCheckpoint      // checkpoint, then stop
 	VerbThrottle
-	VerbAsk // ask for the attempt's state
 )
 
 // Order tells a daemon to act on an attempt that runs on a target.
--- a/internal/load/imitator/history.go
+++ b/internal/load/imitator/history.go
@@ -99,6 +99,19 @@
 	return slices.Clone(h.starts[id])
 }
 
+// Begins returns when each task of a caller was first started.
+func (h *History) Begins(caller registrar.CallerName) []time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []time.Time
+	for _, list := range h.starts {
+		if list[0].Caller == caller {
+			out = append(out, list[0].Began)
+		}
+	}
+	return out
+}
+
 // Total returns the number of tasks that were started and of all starts.
 func (h *History) Total() (tasks, starts int) {
 	h.mu.Lock()
