Write the grammar's tags so that vet reads them

Cause: go vet refused the bare tags in a fresh clone and passed them in the work tree by a kept result. Change: parser:"..." tags; the generated grammar is the same.

--- a/internal/language/parser/parser.go
+++ b/internal/language/parser/parser.go
@@ -20,129 +20,129 @@
 // Statement is one query or command. Base and ID belong to commands that
 // change the cell.
 type Statement struct {
-	Command Command `@@`
-	Base    *uint64 `( "BASE" @Number`
-	ID      *string `| "ID" @(String | Ident | Number) )* ";"?`
+	Command Command `parser:"@@"`
+	Base    *uint64 `parser:"( 'BASE' @Number"`
+	ID      *string `parser:"| 'ID' @(String | Ident | Number) )* ';'?"`
 }
 
 // Command is the body of a statement. Exactly one of its fields is set.
 type Command struct {
-	Show    *Show    `  @@`
-	Create  *Create  `| @@`
-	Change  *Alter   `| @@`
-	Set     *Set     `| @@`
-	Cancel  *Cancel  `| @@`
-	Drain   *Drain   `| @@`
-	Retire  *Retire  `| @@`
-	Prove   *Prove   `| @@`
-	Explain *Explain `| @@`
-	Voter   *Voter   `| @@`
+	Show    *Show    `parser:"@@"`
+	Create  *Create  `parser:"| @@"`
+	Change  *Alter   `parser:"| @@"`
+	Set     *Set     `parser:"| @@"`
+	Cancel  *Cancel  `parser:"| @@"`
+	Drain   *Drain   `parser:"| @@"`
+	Retire  *Retire  `parser:"| @@"`
+	Prove   *Prove   `parser:"| @@"`
+	Explain *Explain `parser:"| @@"`
+	Voter   *Voter   `parser:"| @@"`
 }
 
 // Show is a query.
 type Show struct {
-	Thing   string   `"SHOW" @Ident`
-	Columns []string `( "COLUMNS" @Ident ( "," @Ident )* )?`
-	Where   *Or      `( "WHERE" @@ )?`
-	Since   string   `( "SINCE" @Number )?`
-	GroupBy []string `( "GROUP" "BY" @Ident ( "," @Ident )* )?`
-	OrderBy []Order  `( "ORDER" "BY" @@ ( "," @@ )* )?`
-	Limit   int      `( "LIMIT" @Number )?`
-	Stale   bool     `@"STALE"?`
+	Thing   string   `parser:"'SHOW' @Ident"`
+	Columns []string `parser:"( 'COLUMNS' @Ident ( ',' @Ident )* )?"`
+	Where   *Or      `parser:"( 'WHERE' @@ )?"`
+	Since   string   `parser:"( 'SINCE' @Number )?"`
+	GroupBy []string `parser:"( 'GROUP' 'BY' @Ident ( ',' @Ident )* )?"`
+	OrderBy []Order  `parser:"( 'ORDER' 'BY' @@ ( ',' @@ )* )?"`
+	Limit   int      `parser:"( 'LIMIT' @Number )?"`
+	Stale   bool     `parser:"@'STALE'?"`
 }
 
 // Order is a column to sort by.
 type Order struct {
-	Column     string `@Ident`
-	Descending bool   `( @"DESC" | "ASC" )?`
+	Column     string `parser:"@Ident"`
+	Descending bool   `parser:"( @'DESC' | 'ASC' )?"`
 }
 
 // Or holds alternatives.
 type Or struct {
-	Terms []And `@@ ( "OR" @@ )*`
+	Terms []And `parser:"@@ ( 'OR' @@ )*"`
 }
 
 // And holds conditions that must all hold.
 type And struct {
-	Terms []Condition `@@ ( "AND" @@ )*`
+	Terms []Condition `parser:"@@ ( 'AND' @@ )*"`
 }
 
 // Condition compares a column, or holds a nested expression.
 type Condition struct {
-	Nested *Or      `  "(" @@ ")"`
-	Column string   `| @Ident`
-	Op     string   `( @Operator`
-	Value  *Value   `  @@`
-	In     []*Value `| "IN" "(" @@ ( "," @@ )* ")" )`
+	Nested *Or      `parser:"'(' @@ ')'"`
+	Column string   `parser:"| @Ident"`
+	Op     string   `parser:"( @Operator"`
+	Value  *Value   `parser:"@@"`
+	In     []*Value `parser:"| 'IN' '(' @@ ( ',' @@ )* ')' )"`
 }
 
 // Value is a literal.
 type Value struct {
-	Text string `@(String | Number | Ident)`
+	Text string `parser:"@(String | Number | Ident)"`
 }
 
 // Create adds a caller or a job.
 type Create struct {
-	Kind   string       `"CREATE" @( "CALLER" | "SERVICE" | "BATCH" | "ALLATONCE" )`
-	Name   string       `@(Ident | String)`
-	Caller string       `( "FOR" @(Ident | String) )?`
-	Set    []Assignment `( "SET" @@ ( "," @@ )* )?`
+	Kind   string       `parser:"'CREATE' @( 'CALLER' | 'SERVICE' | 'BATCH' | 'ALLATONCE' )"`
+	Name   string       `parser:"@(Ident | String)"`
+	Caller string       `parser:"( 'FOR' @(Ident | String) )?"`
+	Set    []Assignment `parser:"( 'SET' @@ ( ',' @@ )* )?"`
 }
 
 // Alter changes a caller or a job.
 type Alter struct {
-	Kind   string       `"CHANGE" @( "CALLER" | "SERVICE" | "BATCH" | "ALLATONCE" )`
-	Name   string       `@(Ident | String)`
-	Caller string       `( "FOR" @(Ident | String) )?`
-	Set    []Assignment `"SET" @@ ( "," @@ )*`
+	Kind   string       `parser:"'CHANGE' @( 'CALLER' | 'SERVICE' | 'BATCH' | 'ALLATONCE' )"`
+	Name   string       `parser:"@(Ident | String)"`
+	Caller string       `parser:"( 'FOR' @(Ident | String) )?"`
+	Set    []Assignment `parser:"'SET' @@ ( ',' @@ )*"`
 }
 
 // Assignment gives a field a value.
 type Assignment struct {
-	Field string `@Ident "="`
-	Value *Value `@@`
+	Field string `parser:"@Ident '='"`
+	Value *Value `parser:"@@"`
 }
 
 // Set gives a policy a value.
 type Set struct {
-	Name  string `"SET" "POLICY" @Ident "="`
-	Value *Value `@@`
+	Name  string `parser:"'SET' 'POLICY' @Ident '='"`
+	Value *Value `parser:"@@"`
 }
 
 // Cancel withdraws a task or a job.
 type Cancel struct {
-	Task   uint64 `"CANCEL" ( "TASK" @Number`
-	Job    string `| "JOB" @(Ident | String)`
-	Caller string `  "FOR" @(Ident | String) )`
+	Task   uint64 `parser:"'CANCEL' ( 'TASK' @Number"`
+	Job    string `parser:"| 'JOB' @(Ident | String)"`
+	Caller string `parser:"'FOR' @(Ident | String) )"`
 }
 
 // Drain keeps new work off a target, or lets it take work again.
 type Drain struct {
-	Verb   string `@( "DRAIN" | "UNDRAIN" ) "TARGET"`
-	Target string `@(Ident | String)`
+	Verb   string `parser:"@( 'DRAIN' | 'UNDRAIN' ) 'TARGET'"`
+	Target string `parser:"@(Ident | String)"`
 }
 
 // Retire ends the relationship with a caller or a target.
 type Retire struct {
-	Kind string `"RETIRE" @( "CALLER" | "TARGET" )`
-	Name string `@(Ident | String)`
+	Kind string `parser:"'RETIRE' @( 'CALLER' | 'TARGET' )"`
+	Name string `parser:"@(Ident | String)"`
 }
 
 // Prove shows the proof of a retirement and checks it again.
 type Prove struct {
-	Kind string `"PROVE" @( "CALLER" | "TARGET" )`
-	Name string `@(Ident | String) "RETIRED"`
+	Kind string `parser:"'PROVE' @( 'CALLER' | 'TARGET' )"`
+	Name string `parser:"@(Ident | String) 'RETIRED'"`
 }
 
 // Explain tells why a task runs where it does, or why it waits.
 type Explain struct {
-	Task uint64 `"EXPLAIN" "TASK" @Number`
+	Task uint64 `parser:"'EXPLAIN' 'TASK' @Number"`
 }
 
 // Voter adds or removes a voter of the replicated log.
 type Voter struct {
-	Verb    string `@( "ADD" | "REMOVE" ) "VOTER"`
-	Replica string `@(Ident | String)`
+	Verb    string `parser:"@( 'ADD' | 'REMOVE' ) 'VOTER'"`
+	Replica string `parser:"@(Ident | String)"`
 }
 
 var rules = lexer.MustSimple([]lexer.SimpleRule{
