--- a/internal/daemon/runner/metrics.go
+++ b/internal/daemon/runner/metrics.go
@@ -8,6 +8,16 @@
 
 // This file adds the metrics of the parts to the daemon's page of metrics.
 
+// countPeer adds the bytes of the connections to one peer, of any region.
+func (r *Runner) countPeer(name registrar.DaemonName) {
+	t := r.traffic.Of(name)
+	help := "Bytes between daemons by peer."
+	sent := map[string]string{"direction": "sent", "peer": string(name)}
+	received := map[string]string{"direction": "received", "peer": string(name)}
+	r.metrics.Counter("peer_bytes_total", help, sent, func() float64 { return float64(t.Sent.Load()) })
+	r.metrics.Counter("peer_bytes_total", help, received, func() float64 { return float64(t.Received.Load()) })
+}
+
 // gauges adds the metrics that are read when they are asked for. Those of the
 // leader's decisions are 0 on other daemons.
 func (r *Runner) gauges() {
@@ -20,10 +30,9 @@
 	m.Gauge("targets_alive", "Targets that hold a lease, at the leader.", func() float64 { return float64(r.control.Load().Targets) })
 	m.Gauge("targets_quarantined", "Targets in quarantine, at the leader.", func() float64 { return float64(r.control.Load().Quarantined) })
 	m.Gauge("daemons_leased", "Daemons that hold a lease, at the leader.", func() float64 { return float64(r.control.Load().Daemons) })
-	for _, p := range append(r.client.Peers, replica.Peer{Name: replica.Incoming}) {
-		t := r.traffic.Of(p.Name)
-		m.Counter("peer_bytes_total", "Bytes between daemons by peer.", map[string]string{"direction": "sent", "peer": string(p.Name)}, func() float64 { return float64(t.Sent.Load()) })
-		m.Counter("peer_bytes_total", "Bytes between daemons by peer.", map[string]string{"direction": "received", "peer": string(p.Name)}, func() float64 { return float64(t.Received.Load()) })
+	r.countPeer(replica.Incoming)
+	for _, p := range r.Settings.Peers {
+		r.countPeer(p.Name)
 	}
 	m.Gauge("leader", "1 while this daemon leads.", func() float64 {
 		if r.node.Status().Role == replicator.Leader {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -61,7 +61,7 @@
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
-	drainPause        = 300 * time.Millisecond // for the balancer to see readiness
+	handOverPoll      = 30 * time.Millisecond
 	handOver          = 2 * time.Second
 	taskIDBits        = 40 // of a region's own task ids
 	resolveInterval   = 2 * time.Second
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), r.Settings.StopGrace)
 	defer cancel()
 	r.gate.Refuse()
-	time.Sleep(drainPause)
+	time.Sleep(r.Settings.DrainPause)
 	r.handOver(ctx)
 	r.gate.Stop(ctx)
 	<-r.ready
@@ -162,7 +162,7 @@
 		if st.Role != replicator.Leader && st.Leader != "" {
 			return
 		}
-		time.Sleep(drainPause / 10)
+		time.Sleep(handOverPoll)
 	}
 }
 
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -40,6 +40,7 @@
 	TargetConnections int
 	StopGrace         time.Duration
 	BodyTimeout       time.Duration
+	DrainPause        time.Duration
 
 	Heartbeat    time.Duration
 	ElectionMin  time.Duration
