--- a/internal/control/decider/admit.go
+++ b/internal/control/decider/admit.go
@@ -70,6 +70,10 @@
 	if r := d.neverFits(c, a.Need, a.Region); r != nil {
 		return r
 	}
+	borrows := d.policies.Borrow && a.Class == registrar.Batch
+	if !borrows && !admitter.QuotaAllows(c.Quota, d.used[a.Caller], a.Need) {
+		return &admitter.Refusal{Reason: fmt.Sprintf("over quota: the caller uses %s of %s", d.used[a.Caller], c.Quota), RetryAfter: minRetryAfter}
+	}
 	r := d.queueRefusal(a, c, now)
 	if r == nil || d.queue.Len() == d.round.leftOver {
 		return r
--- a/internal/control/decider/policy.go
+++ b/internal/control/decider/policy.go
@@ -82,7 +82,7 @@
 	{"Quarantine.MaxPause", "10m", "longest time between probes", duration(func(p *Policies) *time.Duration { return &p.QuarantineMax })},
 	{"Quarantine.MaxShare", "0.3", "share of an availability zone's targets that may be in quarantine", fraction(func(p *Policies) *float64 { return &p.QuarantineShare })},
 	{"Retention.Repeatable", "2m", "time for which the key of an ended repeatable request is known", duration(func(p *Policies) *time.Duration { return &p.KeyRetention })},
-	{"Retention.MaxRepeatable", "20000", "ended repeatable requests whose keys are known; the oldest are forgotten first", number(func(p *Policies) *int { return &p.MaxRepeatable })},
+	{"Retention.MaxRepeatable", "10000", "ended repeatable requests whose keys are known; the oldest are forgotten first", number(func(p *Policies) *int { return &p.MaxRepeatable })},
 	{"Retention.Once", "840h", "time for which the key and answer of a request that is not repeatable are known", duration(func(p *Policies) *time.Duration { return &p.OnceRetention })},
 	{"Retention.Jobs", "168h", "time for which an ended job and its tasks are known", duration(func(p *Policies) *time.Duration { return &p.JobRetention })},
 	{"Retention.Changes", "168h", "time for which a change id is known", duration(func(p *Policies) *time.Duration { return &p.ChangeRetention })},
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -80,7 +80,7 @@
 	relinkDelay   = 50 * time.Millisecond
 	callerGrace   = 10 * time.Second
 	keptRenewals  = 16
-	answerBytes   = 8 << 20
+	answerBytes   = 4 << 20
 	answerTime    = 2 * time.Minute
 )
 
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -126,7 +126,7 @@
 	if !ok {
 		return
 	}
-	r, findings := s.parseRequest(c, data)
+	r, findings := ParseRequest(c, data, s.MaxBody, s.Now())
 	if len(findings) > 0 {
 		write(ctx, http.StatusBadRequest, Answer{Reason: "the request is not valid", Findings: findings})
 		return
@@ -185,11 +185,13 @@
 // base64Growth is the size of base64 in percent of the bytes it holds.
 const base64Growth = 137
 
-func (s *Server) parseRequest(c *registrar.Caller, data []byte) (*gateway.Request, []Finding) {
+// ParseRequest reads the body of a request of a caller, and returns everything
+// that is wrong with it.
+func ParseRequest(c *registrar.Caller, data []byte, maxBody int, now time.Time) (*gateway.Request, []Finding) {
 	var b requestBody
 	findings := readFields(data, requestFields, []string{"Key", "Need"}, &b)
-	if len(b.body) > s.MaxBody {
-		findings = append(findings, Finding{"Body", fmt.Sprintf("%d bytes", len(b.body)), fmt.Sprintf("at most %d bytes", s.MaxBody)})
+	if len(b.body) > maxBody {
+		findings = append(findings, Finding{"Body", fmt.Sprintf("%d bytes", len(b.body)), fmt.Sprintf("at most %d bytes", maxBody)})
 	}
 	if len(findings) > 0 {
 		return nil, findings
@@ -200,7 +202,7 @@
 	}
 	b.admit.Content = contentOf(&b)
 	if b.timeLeft > 0 {
-		b.admit.Deadline = registrar.MillisOf(s.Now().Add(b.timeLeft))
+		b.admit.Deadline = registrar.MillisOf(now.Add(b.timeLeft))
 	}
 	return &gateway.Request{Admit: b.admit, Body: b.body, Type: b.kind}, nil
 }
--- a/internal/peer/replica/protocol.go
+++ b/internal/peer/replica/protocol.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/encoding"
 
 	"masticroad/internal/control/decider"
 	"masticroad/internal/control/registrar"
@@ -93,6 +94,9 @@
 	Recv() (*decider.Upstream, error)
 }
 
+// NewCodec returns the codec of all messages.
+func NewCodec() encoding.Codec { return codec{} }
+
 type codec struct{}
 
 func (codec) Marshal(v any) ([]byte, error)      { return cbor.Marshal(v) }
--- a/internal/peer/target/server.go
+++ b/internal/peer/target/server.go
@@ -41,10 +41,7 @@
 	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxAnnouncement))
 	var a Announcement
 	if err == nil {
-		err = json.Unmarshal(data, &a)
-	}
-	if err == nil {
-		err = a.check()
+		a, err = ParseAnnouncement(data)
 	}
 	if err != nil {
 		ctx.StatusCode(http.StatusBadRequest)
@@ -72,6 +69,16 @@
 	_, _ = ctx.Write(out) // the target may be gone
 }
 
+// ParseAnnouncement reads an announcement and refuses one that can't be of a
+// target.
+func ParseAnnouncement(data []byte) (Announcement, error) {
+	var a Announcement
+	if err := json.Unmarshal(data, &a); err != nil {
+		return a, err
+	}
+	return a, a.check()
+}
+
 // check refuses announcements that can't be of a target.
 func (a *Announcement) check() error {
 	host, _, err := net.SplitHostPort(a.Address)
