Write on a goroutine of its own; rewrite a storage that failed; keep acknowledged entries

Change: the node writes beside the core; committed entries are delivered before the own disk has them; a failed storage is written anew every 300 ms; a folder on a full disk opens.

--- a/internal/state/replicator/core.go
+++ b/internal/state/replicator/core.go
@@ -12,7 +12,9 @@
 // This file holds the state of a Core and its entry points. Each entry point
 // takes the present time and leaves its results to be fetched by Ready.
 // Example of a round: Step(message, now), Ready(), save and send what it
-// gave, Saved().
+// gave, Saved(). While that is being saved, further messages may be stepped and
+// TakeEarly fetches what need not wait, so that a slow disk does not keep a
+// leader from sending heartbeats.
 
 // Limits of one message.
 const (
@@ -43,6 +45,7 @@
 	commit  registrar.Index
 	given   registrar.Index // delivered by Ready
 	stable  registrar.Index // saved
+	saving  registrar.Index // saved once the newest Ready is
 	members []ReplicaID
 	memberI registrar.Index // of the newest membership entry
 
@@ -53,7 +56,8 @@
 
 	// Of a leader.
 	progress    map[ReplicaID]*progress
-	seq         uint64 // of the newest round
+	order       []ReplicaID // of progress; stale while the lengths differ or nil
+	seq         uint64      // of the newest round
 	rounds      []round
 	ackedAt     time.Time // send time of the newest round that a quorum answered
 	beatAt      time.Time
@@ -142,6 +146,7 @@
 	c.log = logTail{snap: saved.Snapshot, entries: saved.Entries}
 	c.commit, c.given = saved.Snapshot.Index, saved.Snapshot.Index
 	c.stable = c.log.last()
+	c.saving = c.stable
 	c.heardLeader = now
 	c.refreshMembers()
 	c.resetElection(now)
@@ -171,24 +176,36 @@
 	r.HardDirty = r.Hard != c.hardSaved
 	c.early, c.unsaved, c.snapIn, c.late, c.readsDone = nil, nil, nil, nil, nil
 	c.hardSaved = r.Hard
+	c.saving = c.log.last()
 	return r
 }
 
-// Saved tells that what the last Ready gave is on disk, and returns the
-// entries that are now committed.
-func (c *Core) Saved() []Entry {
-	c.stable = c.log.last()
+// TakeEarly returns and clears the messages that may be sent before saving.
+func (c *Core) TakeEarly() []Message {
+	out := c.early
+	c.early = nil
+	return out
+}
+
+// Saved tells that what the last Ready gave is on disk.
+func (c *Core) Saved() {
+	c.stable = max(c.stable, min(c.saving, c.log.last()))
 	if c.role == Leader {
 		c.advanceCommit()
 	}
-	return c.takeCommitted()
 }
 
-func (c *Core) takeCommitted() []Entry {
-	hi := min(c.commit, c.stable)
+// TakeCommitted returns the entries that a majority has saved and that were not
+// returned before. This replica itself may yet be saving them. A snapshot that
+// came in goes first, by Ready.
+func (c *Core) TakeCommitted() []Entry {
+	if c.snapIn != nil {
+		return nil
+	}
 	if c.given < c.log.snap.Index {
 		c.given = c.log.snap.Index
 	}
+	hi := min(c.commit, c.log.last())
 	out := c.log.slice(c.given+1, hi)
 	if len(out) > 0 {
 		c.given = hi
@@ -199,7 +216,26 @@
 // HasWork reports whether Ready would return anything.
 func (c *Core) HasWork() bool {
 	return len(c.early)+len(c.late)+len(c.unsaved)+len(c.readsDone) > 0 ||
-		c.snapIn != nil || c.hardSaved != HardState{c.term, c.vote} || c.given < min(c.commit, c.stable)
+		c.snapIn != nil || c.hardSaved != HardState{c.term, c.vote}
+}
+
+// Whole is all that a storage has to hold.
+type Whole struct {
+	Snapshot Snapshot
+	Hard     HardState
+	Entries  []Entry
+	// Restore is a snapshot that Ready has not given, to be restored.
+	Restore *Snapshot
+}
+
+// Whole returns all that a storage has to hold, for one that lost track of what
+// it does hold. It counts as given by Ready.
+func (c *Core) Whole() Whole {
+	w := Whole{Snapshot: c.log.snap, Hard: HardState{c.term, c.vote}, Entries: append([]Entry(nil), c.log.entries...), Restore: c.snapIn}
+	c.unsaved, c.snapIn = nil, nil
+	c.hardSaved = w.Hard
+	c.saving = c.log.last()
+	return w
 }
 
 // Propose appends data to the log of a leader.
@@ -249,7 +285,8 @@
 	term, _ := c.log.term(index)
 	snap := Snapshot{Index: index, Term: term, Voters: c.votersAt(index), Data: data}
 	c.log.compact(snap)
-	rest := c.log.slice(index+1, min(c.stable, c.log.last()))
+	c.stable = max(c.stable, index)
+	rest := append([]Entry(nil), c.log.slice(index+1, min(c.stable, c.log.last()))...)
 	return snap, rest, true
 }
 
--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -19,7 +19,15 @@
 	if seed%3 == 0 {
 		voters = 5
 	}
-	d := newDriver(seed, voters, disabled)
+	return play(newDriver(seed, voters, disabled))
+}
+
+// openSchedule runs one seed with open membership.
+func openSchedule(seed int64) []string {
+	return play(newOpenDriver(seed, 3, int(seed%4)))
+}
+
+func play(d *driver) []string {
 	for client := 0; client < 24 && len(d.problems) == 0; client++ {
 		d.run(time.Duration(50+d.rand.Intn(400)) * time.Millisecond)
 		d.act(client)
@@ -63,6 +71,29 @@
 	}
 }
 
+func TestSchedulesOfFaultsWithOpenMembership(t *testing.T) {
+	for seed := range seeds(300) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			quicktest.Assert(t, openSchedule(seed), quicktest.HasLen, 0)
+		})
+	}
+}
+
+func TestEveryDurableReplicaBecomesAVoter(t *testing.T) {
+	c := quicktest.New(t)
+	d := newOpenDriver(1, 3, 2)
+	d.faults = false
+	d.run(5 * time.Second)
+	c.Assert(d.leader().core.Status().Voters, quicktest.HasLen, 5)
+	d.replace(d.members[4])
+	d.boot(d.members[4])
+	d.run(20 * time.Second)
+	voters := d.leader().core.Status().Voters
+	c.Assert(voters, quicktest.HasLen, 5)
+	c.Assert(voters, quicktest.Contains, d.members[4].core.ID)
+}
+
 // The checks above must notice when a protection is switched off.
 func TestSchedulesNoticeMissingProtections(t *testing.T) {
 	for name, disabled := range map[string]replicator.Mechanism{
--- a/internal/state/replicator/driver_test.go
+++ b/internal/state/replicator/driver_test.go
@@ -39,6 +39,10 @@
 	return nil
 }
 
+func (d *disk) Rewrite(snap replicator.Snapshot, hard replicator.HardState, entries []replicator.Entry) error {
+	return d.SaveSnapshot(snap, hard, entries)
+}
+
 func (d *disk) SaveSnapshot(snap replicator.Snapshot, hard replicator.HardState, rest []replicator.Entry) error {
 	d.saved = replicator.Saved{Hard: hard, Snapshot: snap, Entries: slices.Clone(rest)}
 	return nil
@@ -50,8 +54,11 @@
 	core    *replicator.Core
 	disk    *disk
 	down    bool
-	pause   time.Duration // left
-	rate    float64       // of its clock
+	pause   time.Duration     // left
+	saving  *replicator.Ready // being written
+	savedAt time.Duration     // when that is done
+	stall   time.Duration     // the disk stands still until then
+	rate    float64           // of its clock
 	skew    time.Duration
 	applied []string // values in log order
 	index   registrar.Index
@@ -89,6 +96,34 @@
 	nextRead replicator.ReadID
 	faults   bool
 	wipes    int
+	open     bool // durable members become voters by themselves
+}
+
+// newOpenDriver makes a cell with open membership: members are named by
+// addresses, and some of them have to join.
+func newOpenDriver(seed int64, voters, joiners int) *driver {
+	d := &driver{rand: rand.New(rand.NewSource(seed)), blocked: make(map[[2]string]bool), faults: true, open: true}
+	var ids []replicator.ReplicaID
+	for i := range voters {
+		ids = append(ids, replicator.ReplicaID(fmt.Sprintf("10.0.0.%d:7.1", i+1)))
+	}
+	for i := range voters + joiners {
+		m := &member{name: fmt.Sprintf("10.0.0.%d:7", i+1), life: 1, disk: &disk{}}
+		m.rate = 1 + maxDrift*(2*d.rand.Float64()-1)/2
+		if i < voters {
+			m.disk.saved.Snapshot.Voters = ids
+		}
+		d.members = append(d.members, m)
+		d.boot(m)
+	}
+	return d
+}
+
+// replace takes a member away for good and adds another with an empty disk.
+func (d *driver) replace(m *member) {
+	d.wipe(m)
+	m.name = fmt.Sprintf("10.0.1.%d:7", d.wipes)
+	m.life = 1
 }
 
 func newDriver(seed int64, voters int, disabled replicator.Mechanism) *driver {
@@ -116,7 +151,7 @@
 	timing.ReplaceAfter = time.Second
 	m.core = &replicator.Core{
 		Group: 1, ID: replicator.ReplicaID(fmt.Sprintf("%s.%d", m.name, m.life)), Durable: true, Timing: timing,
-		Rand: rand.New(rand.NewSource(d.rand.Int63())), Disabled: d.disabled,
+		Rand: rand.New(rand.NewSource(d.rand.Int63())), Disabled: d.disabled, Open: d.open,
 	}
 	saved := m.disk.saved
 	saved.Entries = slices.Clone(saved.Entries)
@@ -187,8 +222,14 @@
 			d.blocked[[2]string{m.name, other.name}] = true
 			d.blocked[[2]string{other.name, m.name}] = true
 		}
+	case 15, 16:
+		m.stall = d.now + time.Duration(d.rand.Intn(2000))*time.Millisecond
 	case 14:
-		if d.wipes == 0 && d.rand.Intn(4) == 0 {
+		switch {
+		case d.wipes > 0 || d.rand.Intn(4) > 0:
+		case d.open && d.rand.Intn(2) == 0:
+			d.replace(m)
+		default:
 			d.wipe(m)
 		}
 	}
@@ -199,7 +240,12 @@
 	}
 }
 
+// crash stops a member. What it was writing may or may not be on its disk.
 func (d *driver) crash(m *member) {
+	if m.saving != nil && d.rand.Intn(2) == 0 {
+		m.write(m.saving)
+	}
+	m.saving = nil
 	m.down = true
 	d.abandon(m)
 }
@@ -287,31 +333,54 @@
 	}
 }
 
-// flush carries out what a core decided. A crash may fall between sending and
-// saving.
+// flush carries out what a core decided. Writes take their time, during which
+// the core takes in further messages.
 func (d *driver) flush(m *member) {
-	for m.core.HasWork() && !m.down {
+	if m.down {
+		return
+	}
+	if m.saving != nil && d.now >= m.savedAt {
+		d.saved(m)
+	}
+	d.send(m.core.TakeEarly())
+	for m.saving == nil && m.core.HasWork() {
 		r := m.core.Ready()
 		d.send(r.Early)
-		if d.faults && len(r.Entries)+len(r.Late) > 0 && d.rand.Intn(500) == 0 {
-			d.crash(m)
-			return
-		}
+		m.saving, m.savedAt = &r, max(d.now, m.stall)
 		if r.Snapshot != nil {
-			_ = m.disk.SaveSnapshot(*r.Snapshot, r.Hard, nil)
 			m.restore(*r.Snapshot)
 		}
-		_ = m.disk.Save(r.Hard, r.Entries)
-		committed := m.core.Saved()
-		d.send(r.Late)
-		d.apply(m, committed)
 		for _, id := range r.Reads {
 			if o := m.reads[id]; o != nil {
+				d.apply(m, m.core.TakeCommitted())
 				d.finish(o, last(m.applied))
 				delete(m.reads, id)
 			}
 		}
+		if d.faults && len(r.Entries) > 0 {
+			m.savedAt += time.Duration(d.rand.Intn(30)) * time.Millisecond
+		}
+		if d.now >= m.savedAt {
+			d.saved(m)
+		}
+	}
+	d.apply(m, m.core.TakeCommitted())
+}
+
+// saved ends the write of a member.
+func (d *driver) saved(m *member) {
+	r := m.saving
+	m.saving = nil
+	m.write(r)
+	m.core.Saved()
+	d.send(r.Late)
+}
+
+func (m *member) write(r *replicator.Ready) {
+	if r.Snapshot != nil {
+		_ = m.disk.SaveSnapshot(*r.Snapshot, r.Hard, nil)
 	}
+	_ = m.disk.Save(r.Hard, r.Entries)
 }
 
 func last(values []string) string {
@@ -348,7 +417,7 @@
 
 func (d *driver) maybeCompact(m *member) {
 	entries, _ := m.core.TailSize()
-	if entries < 12 || d.rand.Intn(20) != 0 {
+	if m.saving != nil || entries < 12 || d.rand.Intn(20) != 0 {
 		return
 	}
 	snap, rest, ok := m.core.Compact(m.index, joinValues(m.applied))
@@ -421,7 +490,7 @@
 	d.faults = false
 	clear(d.blocked)
 	for _, m := range d.members {
-		m.pause = 0
+		m.pause, m.stall, m.savedAt = 0, 0, 0
 		if m.down {
 			d.boot(m)
 		}
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -74,6 +74,11 @@
 		return
 	}
 	c.askVotes(MsgPreVote, c.term+1)
+	if now.Sub(c.heardLeader) >= c.learnerPatience() {
+		// It may have no vote any more, or not yet; then a leader takes it in as a
+		// learner.
+		c.send(Message{Type: MsgJoin, Index: c.log.last(), Durable: c.Durable})
+	}
 }
 
 func (c *Core) startElection(now time.Time, force bool) {
@@ -187,7 +192,7 @@
 }
 
 func (c *Core) dropLeadership() {
-	c.progress = nil
+	c.progress, c.order = nil, nil
 	c.reads = nil
 	c.rounds = nil
 	c.ackedAt = time.Time{}
@@ -198,7 +203,7 @@
 	c.role = Leader
 	c.leader = c.ID
 	c.forced = false
-	c.progress = make(map[ReplicaID]*progress)
+	c.progress, c.order = make(map[ReplicaID]*progress), nil
 	c.rounds, c.reads = nil, nil
 	c.ackedAt = time.Time{}
 	for _, id := range c.members {
@@ -214,6 +219,7 @@
 	p := &progress{next: c.log.last() + 1, heard: now, probing: true}
 	if id != c.ID {
 		c.progress[id] = p
+		c.order = nil
 	}
 	return p
 }
--- a/internal/state/replicator/follower.go
+++ b/internal/state/replicator/follower.go
@@ -137,6 +137,7 @@
 func (c *Core) cutFrom(i registrar.Index) {
 	c.log.truncate(i)
 	c.stable = min(c.stable, i-1)
+	c.saving = min(c.saving, i-1)
 	for n, e := range c.unsaved {
 		if e.Index >= i {
 			c.unsaved = c.unsaved[:n]
@@ -152,6 +153,13 @@
 	if ch == nil {
 		return
 	}
+	if t, ok := c.log.term(ch.Index); ok && t == ch.Term {
+		// The log holds all that the snapshot covers. What follows there may have
+		// been acknowledged and must be kept.
+		c.commit = max(c.commit, ch.Index)
+		c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.commit, Seq: m.Seq})
+		return
+	}
 	if ch.Index <= c.commit {
 		c.send(Message{Type: MsgAppendReply, To: m.From, Index: c.commit, Seq: m.Seq})
 		return
@@ -178,6 +186,7 @@
 	c.commit = snap.Index
 	c.given = snap.Index
 	c.stable = snap.Index
+	c.saving = snap.Index
 	c.unsaved = nil
 	c.snapIn = &snap
 	c.refreshMembers()
--- a/internal/state/replicator/leader.go
+++ b/internal/state/replicator/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,12 +50,22 @@
 		return
 	}
 	c.newRound(now)
-	for id, p := range c.progress {
+	for _, id := range c.followers() {
+		p := c.progress[id]
 		c.sendAppend(id, p, now, true)
 	}
 	c.countRounds()
 }
 
+// followers returns the replicas that are followed, in the order of their ids,
+// so that equal inputs give equal outputs.
+func (c *Core) followers() []ReplicaID {
+	if c.order == nil {
+		c.order = slices.Sorted(maps.Keys(c.progress))
+	}
+	return c.order
+}
+
 func (c *Core) newRound(now time.Time) {
 	c.seq++
 	c.beatAt = now
@@ -64,7 +75,8 @@
 // broadcast sends new entries to every voter that is ready for them. Learners
 // have no part in a commit; they get entries from time to time in one message.
 func (c *Core) broadcast(now time.Time) {
-	for id, p := range c.progress {
+	for _, id := range c.followers() {
+		p := c.progress[id]
 		if p.next <= c.log.last() && !p.learner {
 			c.sendAppend(id, p, now, false)
 		}
@@ -73,7 +85,8 @@
 
 // broadcastAll sends to every voter, and to each learner that is due.
 func (c *Core) broadcastAll(now time.Time) {
-	for id, p := range c.progress {
+	for _, id := range c.followers() {
+		p := c.progress[id]
 		if p.learner && now.Sub(p.sent) < c.Timing.LearnerDelay {
 			continue
 		}
--- a/internal/state/replicator/learner.go
+++ b/internal/state/replicator/learner.go
@@ -48,9 +48,11 @@
 }
 
 func (c *Core) dropLearners(now time.Time) {
-	for id, p := range c.progress {
+	for _, id := range c.followers() {
+		p := c.progress[id]
 		if p.learner && now.Sub(p.heard) > c.Timing.LearnerGone {
 			delete(c.progress, id)
+			c.order = nil
 		}
 	}
 }
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -12,7 +12,9 @@
 
 // This file drives a Core on one goroutine: it gathers what arrived, lets the
 // core decide, saves once for all of it (group commit), sends, and hands
-// committed entries to the owner of the tables.
+// committed entries to the owner of the tables. Writes are made on a goroutine
+// of their own, one at a time, so that a disk that is slow or stands still does
+// not hold up heartbeats and commits by the other replicas.
 
 const (
 	minTick     = 5 * time.Millisecond
@@ -41,11 +43,17 @@
 	Sender  Sender
 	Now     func() time.Time
 
-	updates chan Update
-	inbox   chan func(now time.Time)
-	status  atomic.Pointer[Status]
-	pending []Update
-	failed  error
+	// Failed, when set, is told about failures of the storage.
+	Failed func(error)
+
+	updates    chan Update
+	inbox      chan func(now time.Time)
+	status     atomic.Pointer[Status]
+	pending    []Update
+	saving     bool      // a write is in progress, or is to be tried again
+	retryAt    time.Time // of a write that failed; zero: none
+	late       []Message // to be sent when the write is done
+	compaction func() (func() error, bool)
 }
 
 // Open prepares the channels. It must be called before any other method.
@@ -136,16 +144,16 @@
 
 // Compact replaces the log up to index by a snapshot of the applied state.
 func (n *Node) Compact(ctx context.Context, index registrar.Index, data []byte) {
-	n.do(ctx, func(time.Time) {
-		snap, rest, ok := n.Core.Compact(index, data)
-		if !ok {
-			return
-		}
-		hard := HardState{n.Core.term, n.Core.vote}
-		if err := n.Storage.SaveSnapshot(snap, hard, rest); err != nil {
-			n.failed = err
-		}
-	})
+	n.do(ctx, func(time.Time) { n.compaction = func() (func() error, bool) { return n.compact(index, data) } })
+}
+
+func (n *Node) compact(index registrar.Index, data []byte) (func() error, bool) {
+	snap, rest, ok := n.Core.Compact(index, data)
+	if !ok {
+		return nil, false
+	}
+	hard := n.Core.hardSaved
+	return func() error { return n.Storage.SaveSnapshot(snap, hard, rest) }, true
 }
 
 func (n *Node) do(ctx context.Context, f func(time.Time)) {
@@ -155,30 +163,55 @@
 	}
 }
 
-// Run drives the core until ctx ends or the storage fails.
+// Run drives the core until ctx ends. A storage that fails is written anew from
+// time to time; until that succeeds this replica acknowledges nothing.
 func (n *Node) Run(ctx context.Context) error {
 	defer close(n.updates)
+	jobs := make(chan func() error, 1)
+	saved := make(chan error, 1)
+	defer close(jobs)
+	go func() {
+		for job := range jobs {
+			saved <- job()
+		}
+	}()
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
-		tick.Reset(max(n.Core.Due().Sub(n.Now()), minTick))
-		if err := n.wait(ctx, tick.C); err != nil {
+		tick.Reset(max(n.due().Sub(n.Now()), minTick))
+		if err := n.wait(ctx, tick.C, saved); err != nil {
+			n.finish(saved)
 			return nil
 		}
-		if err := n.flush(); err != nil {
-			return errors.Annotate(err, "replica stopped")
-		}
+		n.flush(jobs)
+	}
+}
+
+// finish waits for the write in progress, so that the storage can be closed.
+func (n *Node) finish(saved <-chan error) {
+	if n.saving && n.retryAt.IsZero() {
+		<-saved
+	}
+}
+
+func (n *Node) due() time.Time {
+	due := n.Core.Due()
+	if !n.retryAt.IsZero() && n.retryAt.Before(due) {
+		return n.retryAt
 	}
+	return due
 }
 
 // wait blocks until there is work, then gathers what else has arrived.
-func (n *Node) wait(ctx context.Context, tick <-chan time.Time) error {
+func (n *Node) wait(ctx context.Context, tick <-chan time.Time, saved <-chan error) error {
 	out, head := n.nextUpdate()
 	select {
 	case <-ctx.Done():
 		return ctx.Err()
 	case out <- head:
 		n.pending = n.pending[1:]
+	case err := <-saved:
+		n.takeSaved(err)
 	case <-tick:
 		n.Core.Tick(n.Now())
 	case f := <-n.inbox:
@@ -207,32 +240,73 @@
 	}
 }
 
-// flush saves and sends what the core decided, until it is at rest.
-func (n *Node) flush() error {
-	for n.Core.HasWork() && n.failed == nil {
-		r := n.Core.Ready()
-		n.Sender.Send(r.Early)
-		if err := n.save(r); err != nil {
-			return err
+// flush sends what need not be saved, and begins the next write unless one is
+// in progress.
+func (n *Node) flush(jobs chan<- func() error) {
+	n.Sender.Send(n.Core.TakeEarly())
+	if n.saving && !n.retryAt.IsZero() && !n.Now().Before(n.retryAt) {
+		n.rewrite(jobs)
+	}
+	for !n.saving && n.Core.HasWork() {
+		n.save(jobs)
+	}
+	if !n.saving && n.compaction != nil {
+		job, ok := n.compaction()
+		n.compaction = nil
+		if ok {
+			n.begin(jobs, job)
 		}
-		committed := n.Core.Saved()
-		n.Sender.Send(r.Late)
-		n.push(Update{Snapshot: r.Snapshot, Entries: committed, Reads: r.Reads})
 	}
-	n.push(Update{})
-	return n.failed
+	n.push(Update{Entries: n.Core.TakeCommitted()})
 }
 
-func (n *Node) save(r Ready) error {
-	if r.Snapshot != nil {
-		if err := n.Storage.SaveSnapshot(*r.Snapshot, r.Hard, nil); err != nil {
-			return errors.Trace(err)
-		}
+// save begins to write what the core decided. Its late messages are sent when
+// that is on disk.
+func (n *Node) save(jobs chan<- func() error) {
+	r := n.Core.Ready()
+	n.Sender.Send(r.Early)
+	n.late = append(n.late, r.Late...)
+	n.push(Update{Snapshot: r.Snapshot, Reads: r.Reads})
+	if r.Snapshot == nil && len(r.Entries) == 0 && !r.HardDirty {
+		n.takeSaved(nil)
+		return
 	}
-	if len(r.Entries) == 0 && !r.HardDirty {
-		return nil
+	n.begin(jobs, func() error {
+		if r.Snapshot != nil {
+			return n.Storage.SaveSnapshot(*r.Snapshot, r.Hard, r.Entries)
+		}
+		return n.Storage.Save(r.Hard, r.Entries)
+	})
+}
+
+func (n *Node) begin(jobs chan<- func() error, job func() error) {
+	n.saving = true
+	jobs <- job
+}
+
+// takeSaved sends the messages that waited for a write, or plans another try.
+func (n *Node) takeSaved(err error) {
+	if err != nil {
+		if n.Failed != nil {
+			n.Failed(err)
+		}
+		n.retryAt = n.Now().Add(rewriteDelay)
+		return
 	}
-	return errors.Trace(n.Storage.Save(r.Hard, r.Entries))
+	n.saving = false
+	n.Core.Saved()
+	n.Sender.Send(n.late)
+	n.late = nil
+}
+
+// rewriteDelay is the time between tries to write to a storage that failed.
+const rewriteDelay = 300 * time.Millisecond
+
+func (n *Node) rewrite(jobs chan<- func() error) {
+	n.retryAt = time.Time{}
+	w := n.Core.Whole()
+	n.push(Update{Snapshot: w.Restore})
+	n.begin(jobs, func() error { return n.Storage.Rewrite(w.Snapshot, w.Hard, w.Entries) })
 }
 
 // push queues an update unless it would tell nothing new.
@@ -256,3 +330,6 @@
 
 // SaveSnapshot does nothing.
 func (MemoryStorage) SaveSnapshot(Snapshot, HardState, []Entry) error { return nil }
+
+// Rewrite does nothing.
+func (MemoryStorage) Rewrite(Snapshot, HardState, []Entry) error { return nil }
--- a/internal/state/replicator/types.go
+++ b/internal/state/replicator/types.go
@@ -147,6 +147,9 @@
 	Save(hard HardState, entries []Entry) error
 	// SaveSnapshot replaces the log by the snapshot and the entries after it.
 	SaveSnapshot(snap Snapshot, hard HardState, rest []Entry) error
+	// Rewrite replaces everything, after a failure that left it unknown what the
+	// disk holds.
+	Rewrite(snap Snapshot, hard HardState, entries []Entry) error
 }
 
 // Saved is what a storage held when it was opened.
--- a/internal/state/storer/storer.go
+++ b/internal/state/storer/storer.go
@@ -18,6 +18,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/state/replicator"
 )
 
@@ -80,11 +81,13 @@
 	// Create makes the file of a segment; nil takes the folder's file system.
 	Create func(path string) (File, error)
 
-	lock    *os.File
-	segment File
-	number  uint64 // of the segment
-	frame   uint64 // of the newest frame
-	failed  error
+	lock     *os.File
+	segment  File
+	number   uint64          // of the segment
+	newest   uint64          // number that was given to a segment last
+	snapshot registrar.Index // of the snapshot on disk
+	frame    uint64          // of the newest frame
+	failed   error
 }
 
 // Prepare writes the identity into an empty folder.
@@ -144,9 +147,15 @@
 	if err != nil {
 		return id, saved, err
 	}
-	return id, saved, s.startSegment(saved.Hard, saved.Entries)
+	s.snapshot, s.newest = saved.Snapshot.Index, s.number
+	// A disk that takes nothing now may do so later, by Rewrite.
+	s.failed = s.startSegment(saved.Hard, saved.Entries)
+	return id, saved, nil
 }
 
+// Failed returns why nothing can be saved at present, or nil.
+func (s *Storer) Failed() error { return s.failed }
+
 func (s *Storer) acquire() error {
 	if err := os.MkdirAll(s.Folder, folderMode); err != nil {
 		return errors.Annotate(err, "storage: create folder")
@@ -176,25 +185,28 @@
 }
 
 // Save appends one frame and syncs it. After a failure every further call
-// fails, since what the disk holds is no longer known.
+// fails until Rewrite succeeds, since what the disk holds is no longer known.
 func (s *Storer) Save(hard replicator.HardState, entries []replicator.Entry) error {
 	if s.failed != nil {
 		return s.failed
 	}
+	if err := s.writeFrame(s.segment, s.segmentPath(s.number), hard, entries); err != nil {
+		s.failed = err
+		return err
+	}
+	return nil
+}
+
+func (s *Storer) writeFrame(f File, path string, hard replicator.HardState, entries []replicator.Entry) error {
 	payload, err := cbor.Marshal(record{hard, entries})
 	if err != nil {
 		return errors.Trace(err)
 	}
 	s.frame++
-	if _, err = s.segment.Write(appendFrame(nil, s.frame, payload)); err != nil {
-		s.failed = errors.Annotatef(err, "storage: write %s", s.segmentPath(s.number))
-		return s.failed
+	if _, err := f.Write(appendFrame(nil, s.frame, payload)); err != nil {
+		return errors.Annotatef(err, "storage: write %s", path)
 	}
-	if err = s.segment.Sync(); err != nil {
-		s.failed = errors.Annotatef(err, "storage: sync %s", s.segmentPath(s.number))
-		return s.failed
-	}
-	return nil
+	return errors.Annotatef(f.Sync(), "storage: sync %s", path)
 }
 
 // SaveSnapshot writes the snapshot, then starts a segment that holds only the
@@ -203,39 +215,57 @@
 	if s.failed != nil {
 		return s.failed
 	}
-	data, err := cbor.Marshal(snap)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	if err := writeWhole(s.Folder, snapshotName, appendFrame(nil, uint64(snap.Index), data)); err != nil {
-		s.failed = err
-		return err
+	s.failed = s.saveWhole(snap, hard, rest)
+	return s.failed
+}
+
+// Rewrite writes everything anew. After it has succeeded the storer can be used
+// again.
+func (s *Storer) Rewrite(snap replicator.Snapshot, hard replicator.HardState, entries []replicator.Entry) error {
+	s.failed = s.saveWhole(snap, hard, entries)
+	return s.failed
+}
+
+func (s *Storer) saveWhole(snap replicator.Snapshot, hard replicator.HardState, rest []replicator.Entry) error {
+	if snap.Index > s.snapshot {
+		data, err := cbor.Marshal(snap)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if err := writeWhole(s.Folder, snapshotName, appendFrame(nil, uint64(snap.Index), data)); err != nil {
+			return err
+		}
+		s.snapshot = snap.Index
 	}
 	return s.startSegment(hard, rest)
 }
 
 // startSegment begins a new segment with the given content and removes the
-// older ones once it is synced.
+// older ones once it is synced. If that fails, the present segment stays.
 func (s *Storer) startSegment(hard replicator.HardState, entries []replicator.Entry) error {
 	old, err := s.segments()
 	if err != nil {
 		return err
 	}
-	if s.segment != nil {
-		_ = s.segment.Close()
+	s.newest++
+	path := s.segmentPath(s.newest)
+	f, err := s.create(path)
+	if err != nil {
+		return errors.Annotate(err, "storage: create segment")
 	}
-	s.number++
-	if s.segment, err = s.create(s.segmentPath(s.number)); err != nil {
-		s.failed = errors.Annotate(err, "storage: create segment")
-		return s.failed
+	err = s.writeFrame(f, path, hard, entries)
+	if err == nil {
+		err = syncFolder(s.Folder)
 	}
-	if err := s.Save(hard, entries); err != nil {
+	if err != nil {
+		_ = f.Close()
+		_ = os.Remove(path) // it may be what fills the disk; older segments hold what was synced
 		return err
 	}
-	if err := syncFolder(s.Folder); err != nil {
-		s.failed = err
-		return err
+	if s.segment != nil {
+		_ = s.segment.Close()
 	}
+	s.segment, s.number = f, s.newest
 	for _, n := range old {
 		if n < s.number {
 			_ = os.Remove(s.segmentPath(n))
--- a/internal/state/storer/storer_test.go
+++ b/internal/state/storer/storer_test.go
@@ -220,6 +220,70 @@
 	}
 }
 
+// faultyDisk lets all files of a storer fail while it is full.
+type faultyDisk struct {
+	full bool
+}
+
+func (d *faultyDisk) create(path string) (storer.File, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	return &diskFile{f, d}, err
+}
+
+type diskFile struct {
+	storer.File
+	disk *faultyDisk
+}
+
+func (f *diskFile) Write(p []byte) (int, error) {
+	if f.disk.full {
+		n, _ := f.File.Write(p[:len(p)/2])
+		return n, errFull
+	}
+	return f.File.Write(p)
+}
+
+func TestRewriteMendsAStorageThatFailed(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	disk := &faultyDisk{}
+	s := &storer.Storer{Folder: folder, Create: disk.create}
+	_, _, err := s.Open(identity)
+	c.Assert(err, quicktest.IsNil)
+	hard := replicator.HardState{Term: 1}
+	c.Assert(s.Save(hard, entries(1, 2, 1)), quicktest.IsNil)
+	disk.full = true
+	c.Assert(s.Save(hard, entries(3, 3, 1)), quicktest.IsNotNil)
+	c.Assert(s.Rewrite(replicator.Snapshot{}, hard, entries(1, 4, 1)), quicktest.IsNotNil)
+	c.Assert(s.Save(hard, entries(4, 4, 1)), quicktest.IsNotNil)
+	disk.full = false
+	c.Assert(s.Save(hard, entries(4, 4, 1)), quicktest.IsNotNil) // only Rewrite knows what is missing
+	c.Assert(s.Rewrite(replicator.Snapshot{}, hard, entries(1, 4, 1)), quicktest.IsNil)
+	c.Assert(s.Save(hard, entries(5, 5, 1)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	_, saved := open(c, folder)
+	c.Assert(saved.Entries, quicktest.DeepEquals, entries(1, 5, 1))
+}
+
+func TestWhatWasSavedIsReadFromAFullDisk(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	s, _ := open(c, folder)
+	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 3, 1)), quicktest.IsNil)
+	c.Assert(s.Close(), quicktest.IsNil)
+	disk := &faultyDisk{full: true}
+	full := &storer.Storer{Folder: folder, Create: disk.create}
+	_, saved, err := full.Open(identity)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(saved.Entries, quicktest.DeepEquals, entries(1, 3, 1))
+	c.Assert(full.Failed(), quicktest.ErrorMatches, ".*no space left on device")
+	disk.full = false
+	c.Assert(full.Rewrite(saved.Snapshot, saved.Hard, saved.Entries), quicktest.IsNil)
+	c.Assert(full.Close(), quicktest.IsNil)
+	_, saved = open(c, folder)
+	c.Assert(saved.Entries, quicktest.DeepEquals, entries(1, 3, 1))
+}
+
 func FuzzOpen(f *testing.F) {
 	f.Add([]byte{}, 0)
 	f.Add([]byte{0x4c, 0x54, 0x53, 0x4d, 1, 0, 0, 0}, 10)
--- a/internal/workflow/definer/definer.go
+++ b/internal/workflow/definer/definer.go
@@ -105,6 +105,33 @@
 	return n
 }
 
+// String tells in short what the step is, such as
+// "4x500m/256MiB 900ms gang rack=r1-3".
+func (s *Step) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%dx%dm/%dMiB %dms", s.Count, s.Need.CPU, s.Need.Memory, s.Estimate.Milliseconds())
+	flag := func(on bool, text string) {
+		if on {
+			b.WriteString(" " + text)
+		}
+	}
+	flag(s.Need.Accelerators > 0, fmt.Sprintf("gpu=%d", s.Need.Accelerators))
+	flag(len(s.DependsOn) > 0, fmt.Sprintf("after=%v", s.DependsOn))
+	flag(s.Checkpointing, "checkpoints")
+	flag(s.Gang, "gang")
+	flag(s.RackLocal, "racklocal")
+	flag(s.Label != "", "label="+s.Label)
+	flag(s.Rack != "", "rack="+s.Rack)
+	flag(s.MaxPerTarget > 0, fmt.Sprintf("max=%d", s.MaxPerTarget))
+	flag(s.Speculative, "copies")
+	flag(s.Lasting, "lasts")
+	flag(s.Image != "", "image="+s.Image)
+	flag(s.TailTarget > 0, fmt.Sprintf("tail=%d", s.TailTarget.Milliseconds()))
+	flag(s.Fills, "fills")
+	flag(s.MaxUnavailable > 0, fmt.Sprintf("away=%d", s.MaxUnavailable))
+	return b.String()
+}
+
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int {
 	return max(j.Repeat.Count, 1)
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"fmt"
 	"time"
 
 	"masticroad/internal/workflow/definer"
@@ -18,6 +19,34 @@
 	chains   []time.Duration // longest time from the begin of each step to the end of the job
 	deadline time.Time       // objective of occurrence 0
 	runs     map[runKey]*run
+	passed   []passage // steps that are done
+	// estimates holds the declared run times, since declarations are dropped at
+	// the job's end.
+	estimates []time.Duration
+}
+
+// passage tells where the time of a step went, for the log.
+type passage struct {
+	step   definer.StepID
+	waited time.Duration // until the last of its tasks was placed
+	ran    time.Duration // from then to the end of the step
+	reruns int
+}
+
+// pass notes that a step is done. The step was placed by an earlier leader if
+// this one placed none of its tasks.
+func (j *job) pass(s *step, now Moment) {
+	placed := s.placed
+	if placed.IsZero() {
+		placed = s.since
+	}
+	j.passed = append(j.passed, passage{s.id, placed.Sub(s.since), now.Steady.Sub(placed), s.reruns})
+}
+
+// describe formats p as step:waited+ran, in milliseconds, against the estimate.
+func (j *job) describe(p passage) string {
+	return fmt.Sprintf("%d.%d:%d+%d/%d(%d)", p.step.Occurrence, p.step.Step, p.waited.Milliseconds(), p.ran.Milliseconds(),
+		j.estimates[p.step.Step].Milliseconds(), p.reruns)
 }
 
 // step is a step that has begun and is not done.
@@ -30,6 +59,8 @@
 	priority int
 	latest   time.Time // it must begin by then to meet the job's objective
 	since    time.Time // it has been ready since then
+	placed   time.Time // when the newest run was decided
+	reruns   int       // runs beyond the first of each task
 	waiting  []int     // tasks without a run, that are not done
 	admitted map[tracker.TargetID]bool
 	tickets  map[tracker.TargetID]ticket
@@ -41,6 +72,9 @@
 // addJob begins to follow a job of the tables.
 func (p *Planner) addJob(rec *tracker.Job, now Moment) *job {
 	j := &job{rec: rec, id: rec.ID, runs: make(map[runKey]*run), chains: chainsOf(rec.Def)}
+	for i := range rec.Def.Steps {
+		j.estimates = append(j.estimates, rec.Def.Steps[i].Estimate)
+	}
 	age := time.Duration(now.Wall-rec.Accepted) * time.Millisecond
 	j.deadline = now.Steady.Add(p.objective(j) - max(age, 0))
 	p.jobs[rec.ID] = j
@@ -158,12 +192,14 @@
 // settleTask draws the consequences of a run's end for its step and job.
 func (p *Planner) settleTask(r *run, how tracker.End, now Moment) {
 	j := r.job
+	s := p.steps[r.key.task.Of()]
+	if s != nil && s.rec.Left == 0 {
+		j.pass(s, now)
+	}
 	if j.rec.State.Ended() {
 		p.endJob(j, now)
 		return
 	}
-	id := r.key.task.Of()
-	s := p.steps[id]
 	if s == nil {
 		return
 	}
@@ -231,8 +267,13 @@
 	}
 	p.closeJob(j)
 	delete(p.jobs, j.id)
-	p.note("job ended", "job", j.id, "queue", j.rec.Queue.Name, "state", j.rec.State.String(),
-		"took", int64(j.rec.Ended-j.rec.Accepted), "objective", p.objective(j).Milliseconds())
+	steps := make([]string, len(j.passed))
+	for i, x := range j.passed {
+		steps[i] = j.describe(x)
+	}
+	took, objective := time.Duration(j.rec.Ended-j.rec.Accepted)*time.Millisecond, p.objective(j)
+	p.note("job ended", "job", j.id.String(), "queue", j.rec.Queue.Name, "state", j.rec.State.String(),
+		"took", took.Milliseconds(), "objective", objective.Milliseconds(), "late", took > objective, "steps", steps)
 }
 
 func (p *Planner) stopJob(j *job, reason string, now Moment) {
@@ -294,7 +335,7 @@
 	a := p.submit(s, now)
 	if a.Verdict != Accepted {
 		p.Counters.Refused++
-		p.note("job refused", "job", s.Job.ID, "host", s.Host, "path", s.Path, "verdict", a.Verdict.String(), "reason", a.Reason,
+		p.note("job refused", "job", s.Job.ID.String(), "host", s.Host, "path", s.Path, "verdict", a.Verdict.String(), "reason", a.Reason,
 			"retry", a.RetryAfter.Milliseconds())
 	}
 	p.after(Action{Done: func() { reply(a) }})
@@ -321,14 +362,23 @@
 	rec := p.State.Jobs[s.Job.ID]
 	j := p.addJob(rec, now)
 	p.Counters.Accepted++
-	p.note("job accepted", "job", j.id, "queue", q.Name, "steps", len(s.Job.Steps), "objective", p.objective(j).Milliseconds(),
-		"priority", q.Priority, "version", int64(p.State.Document.Version))
+	p.note("job accepted", "job", j.id.String(), "queue", q.Name, "steps", len(s.Job.Steps), "objective", p.objective(j).Milliseconds(),
+		"priority", q.Priority, "version", int64(p.State.Document.Version), "tasks", describeSteps(s.Job))
 	for rec.Begun < s.Job.Occurrences() && s.Job.Due(rec.Begun) <= now.Wall {
 		p.beginOccurrence(j, now)
 	}
 	return Answer{Verdict: Accepted}
 }
 
+// describeSteps tells in short what the steps of a job are.
+func describeSteps(j *definer.Job) []string {
+	out := make([]string, len(j.Steps))
+	for i := range j.Steps {
+		out[i] = j.Steps[i].String()
+	}
+	return out
+}
+
 const retryNoDocument = time.Second // documents are sent again within about a second
 
 // Cancel ends a job. Reply is called once that is recorded.
@@ -346,7 +396,7 @@
 		return Answer{Verdict: Accepted}
 	}
 	p.emit(tracker.Event{JobCancelled: &tracker.JobCancelled{Job: rec.ID}}, now)
-	p.note("job cancelled", "job", rec.ID, "runs", rec.Runs)
+	p.note("job cancelled", "job", rec.ID.String(), "runs", rec.Runs)
 	if j := p.jobs[rec.ID]; j != nil {
 		p.endJob(j, now)
 	}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -84,6 +84,10 @@
 	r := p.addRun(s.job, s.def, runKey{s.id.Task(index), number}, t, runOrdered, now)
 	r.ticket = s.tickets[t.rec.ID].text
 	p.Counters.Started++
+	s.placed = now.Steady
+	if number > 1 {
+		s.reruns++
+	}
 	return r
 }
 
@@ -97,7 +101,7 @@
 	for _, n := range numbers {
 		ev := &tracker.RunsStarted{Step: s.id, Number: n, Runs: starts[n]}
 		p.emit(tracker.Event{RunsStarted: ev}, now)
-		p.note("runs decided", "step", s.id, "run", int(n), "queue", s.job.rec.Queue.Name, "placed", ev.Runs,
+		p.note("runs decided", "step", s.id.String(), "run", int(n), "queue", s.job.rec.Queue.Name, "placed", ev.Placed(),
 			"waited", now.Steady.Sub(s.since).Milliseconds(), "waiting", len(s.waiting))
 		for _, x := range starts[n] {
 			p.orderStart(s.job.runs[runKey{s.id.Task(x.Index), n}], now)
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -165,7 +165,7 @@
 	if r.state == runStarted {
 		return // an earlier order was obeyed
 	}
-	p.note("start refused", "task", r.key.task, "run", int(r.key.number), "target", r.target.rec.ID, "reason", o.Refusal.String())
+	p.note("start refused", "task", r.key.task.String(), "run", int(r.key.number), "target", r.target.rec.ID, "reason", o.Refusal.String())
 	switch o.Refusal {
 	case RefusedToken:
 		r.state = runInherited // another leader may have begun; the next look tells
@@ -243,7 +243,7 @@
 
 // stopStray stops a run that the tables don't have on this target.
 func (p *Planner) stopStray(t *target, key runKey, now Moment) {
-	p.note("stray run", "task", key.task, "run", int(key.number), "target", t.rec.ID)
+	p.note("stray run", "task", key.task.String(), "run", int(key.number), "target", t.rec.ID)
 	p.after(Action{Stop: &StopOrder{To: p.destination(t), Task: key.task, Number: key.number}})
 }
 
@@ -309,7 +309,7 @@
 	p.dirty = true
 	p.judge(r, how, now)
 	if how != tracker.EndDone {
-		p.note("run ended", "task", r.key.task, "run", int(r.key.number), "target", t.rec.ID, "how", how.String(), "reason", reason,
+		p.note("run ended", "task", r.key.task.String(), "run", int(r.key.number), "target", t.rec.ID, "how", how.String(), "reason", reason,
 			"stop", r.stopReason)
 	}
 	p.emit(tracker.Event{RunEnded: &tracker.RunEnded{Task: r.key.task, Number: r.key.number, How: how, Checkpoint: checkpoint}}, now)
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/fxamacker/cbor/v2"
@@ -166,12 +167,19 @@
 	return "Event"
 }
 
-// String lists the runs and their targets.
+// String names the step and lists the runs.
 func (r *RunsStarted) String() string {
+	return fmt.Sprintf("RunsStarted %s run %d: %s", r.Step, r.Number, r.Placed())
+}
+
+// Placed lists the tasks and their targets, such as "0@i-7f 1@i-3c".
+func (r *RunsStarted) Placed() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "RunsStarted %s run %d:", r.Step, r.Number)
-	for _, p := range r.Runs {
-		fmt.Fprintf(&b, " %d@%s", p.Index, p.Target)
+	for i, p := range r.Runs {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(strconv.Itoa(p.Index) + "@" + string(p.Target))
 	}
 	return b.String()
 }
