Watch replicas for the leader, elect sooner, dial anew sooner

Cause: gateways noticed a frozen leader by a second of silence, 0.8 s after the new one had begun; after a loss of power the first packets to VMs that were still starting were lost, so an election had to wait for the kernel's repeat.

--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -55,8 +55,8 @@
 	Name       planner.AdviserID // of this daemon
 	// MaxBytes of the log are kept before a snapshot is taken.
 	MaxBytes int
-	// Changed is called when this replica begins or ends to lead.
-	Changed func(leading bool)
+	// Follow is told the address of the leader, or an empty text, and its term.
+	Follow func(leader string, term registrar.Term)
 
 	ctx      context.Context // of Run
 	state    *tracker.State  // committed
@@ -73,6 +73,7 @@
 	nextRead replicator.ReadID
 	tail     int // bytes of the log since the last snapshot
 	streams  map[planner.AdviserID]*stream
+	watchers map[*stream]bool
 	noted    int // log lines of the present second
 	notedAt  time.Time
 	dropped  int
@@ -108,6 +109,7 @@
 	c.inputs = make(chan input, inputQueue)
 	c.reads = make(map[replicator.ReadID][]func())
 	c.streams = make(map[planner.AdviserID]*stream)
+	c.watchers = make(map[*stream]bool)
 }
 
 // Restore fills the tables from a snapshot, before Run.
@@ -165,10 +167,14 @@
 		}
 		c.tail = 0
 	}
-	if u.Status.Leader != c.status.Leader || u.Status.Role != c.status.Role {
+	changed := u.Status.Leader != c.status.Leader || u.Status.Role != c.status.Role || u.Status.Term != c.status.Term
+	if changed {
 		c.Log.Info("replica changed", "role", u.Status.Role.String(), "term", u.Status.Term, "leader", string(u.Status.Leader), "voters", u.Status.Voters)
 	}
 	c.status = u.Status
+	if changed {
+		c.tellWatchers()
+	}
 	c.checkLeadership(u.Dropped)
 	for i := range u.Entries {
 		if err := c.apply(&u.Entries[i]); err != nil {
@@ -226,7 +232,6 @@
 		delete(c.streams, id)
 	}
 	c.refuse()
-	c.Changed(false)
 }
 
 // refuse answers calls that only a leader can answer.
@@ -242,7 +247,13 @@
 	case in.call != nil:
 		in.call.reply(leader.Reply{ID: in.call.ID, Verdict: planner.Uncertain, Reason: "this daemon does not lead"})
 	case in.attach != nil:
-		in.attach.welcome <- leader.Welcome{Leader: nameOf(c.status.Leader), Members: namesOf(c.status.Voters)}
+		if in.attach.watches {
+			c.attachWatch(in.attach)
+			return
+		}
+		in.attach.welcome <- c.welcome()
+	case in.detach != nil:
+		delete(c.watchers, in.detach)
 	case in.query != nil:
 		in.query(c.state)
 	}
@@ -262,7 +273,6 @@
 	c.Planner.Begin(c.term, now)
 	c.Planner.AddAdviser(c.Name, now)
 	c.Log.Info("leadership taken", "term", c.term, "jobs", len(c.state.Jobs), "targets", len(c.state.Targets))
-	c.Changed(true)
 }
 
 // decide runs a round if one is due and returns the time to the next.
@@ -346,9 +356,12 @@
 		c.Planner.Looked(in.look, now)
 	case in.ask != nil:
 		c.Planner.Asked(in.ask, now)
+	case in.attach != nil && in.attach.watches:
+		c.attachWatch(in.attach)
 	case in.attach != nil:
 		c.attach(in.attach, now)
 	case in.detach != nil:
+		delete(c.watchers, in.detach)
 		c.detach(in.detach, now)
 	case in.query != nil:
 		in.query(c.state)
--- a/internal/daemon/coordinator/streams.go
+++ b/internal/daemon/coordinator/streams.go
@@ -13,9 +13,10 @@
 
 const downQueue = 1024
 
-// stream is the leader's end of a daemon's stream.
+// stream is this daemon's end of another daemon's stream.
 type stream struct {
 	daemon  planner.AdviserID
+	watches bool
 	queue   chan *leader.Down
 	cancel  context.CancelFunc
 	welcome chan leader.Welcome
@@ -31,7 +32,8 @@
 	}
 }
 
-// Work serves a daemon's stream until it ends.
+// Work serves a daemon's stream until it ends. A daemon that does not lead
+// serves only streams that watch.
 func (c *Coordinator) Work(ctx context.Context, conn leader.Stream) error {
 	first, err := conn.Recv()
 	if err != nil {
@@ -43,13 +45,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &stream{
-		daemon: planner.AdviserID(first.Hello.Daemon), queue: make(chan *leader.Down, downQueue),
+		daemon: planner.AdviserID(first.Hello.Daemon), watches: first.Hello.Watch, queue: make(chan *leader.Down, downQueue),
 		cancel: cancel, welcome: make(chan leader.Welcome, 1),
 	}
 	c.push(input{attach: s})
 	select {
 	case w := <-s.welcome:
-		if err := conn.Send(&leader.Down{Welcome: &w}); err != nil || !w.Leading {
+		if err := conn.Send(&leader.Down{Welcome: &w}); err != nil || !w.Leading && !s.watches {
 			return err
 		}
 	case <-ctx.Done():
@@ -97,18 +99,43 @@
 func (s *stream) merge(m *leader.Down) {
 	for len(s.queue) > 0 {
 		next := <-s.queue
+		if next.Welcome != nil {
+			m.Welcome = next.Welcome
+		}
 		m.Replies = append(m.Replies, next.Replies...)
 		m.Asks = append(m.Asks, next.Asks...)
 	}
 }
 
+// welcome tells who leads, as this replica knows it.
+func (c *Coordinator) welcome() leader.Welcome {
+	return leader.Welcome{
+		Leading: c.leading.Load(), Leader: nameOf(c.status.Leader), Members: namesOf(c.status.Voters), Term: c.status.Term,
+	}
+}
+
+// attachWatch keeps a stream that watches.
+func (c *Coordinator) attachWatch(s *stream) {
+	c.watchers[s] = true
+	s.welcome <- c.welcome()
+}
+
+// tellWatchers passes on who leads.
+func (c *Coordinator) tellWatchers() {
+	w := c.welcome()
+	c.Follow(w.Leader, w.Term)
+	for s := range c.watchers {
+		s.push(&leader.Down{Welcome: &w})
+	}
+}
+
 func (c *Coordinator) attach(s *stream, now planner.Moment) {
 	if old := c.streams[s.daemon]; old != nil {
 		old.cancel()
 	}
 	c.streams[s.daemon] = s
 	c.Planner.AddAdviser(s.daemon, now)
-	s.welcome <- leader.Welcome{Leading: true, Leader: nameOf(c.status.Leader), Members: namesOf(c.status.Voters)}
+	s.welcome <- c.welcome()
 }
 
 func (c *Coordinator) detach(s *stream, now planner.Moment) {
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,17 +16,16 @@
 	"masticroad/internal/workflow/planner"
 )
 
-// This file finds the leader and keeps a stream to it. Example: the leader's VM
-// is frozen; nothing arrives for a second though a ping was sent; the stream is
-// dropped, another daemon names the new leader, and the calls that wait are
-// sent again.
+// This file keeps a stream to the leader and passes calls on over it. Example:
+// the leader's VM is frozen; another daemon is elected, which a watched daemon
+// tells; the old stream is dropped and the calls that wait are sent to the new
+// leader.
 
 const (
-	welcomeTimeout = 700 * time.Millisecond // for connecting and the first answer
-	pingInterval   = 400 * time.Millisecond // between signs of life of an idle stream
-	silenceLimit   = time.Second            // without a sign of life
-	retryDelay     = 60 * time.Millisecond  // between attempts to find the leader
-	upQueue        = 1024
+	pingInterval = 400 * time.Millisecond // between signs of life of a stream
+	silenceLimit = time.Second            // without a sign of life
+	retryDelay   = 60 * time.Millisecond  // between attempts to reach a daemon: four round trips between regions
+	upQueue      = 1024
 )
 
 // Local is the coordinator of this daemon, if it has one.
@@ -49,9 +47,10 @@
 	mu      sync.Mutex
 	pending map[uint64]*pending
 	nextID  uint64
-	current *link // nil: no leader is known
+	current *link // nil: there is no stream to a leader
 	known   []string
-	changed chan struct{} // closed when current changes
+	leader  found
+	changed chan struct{} // closed when leader changes
 }
 
 type pending struct {
@@ -62,8 +61,9 @@
 
 // link is an open stream to the leader.
 type link struct {
-	queue  chan *leader.Up
-	cancel context.CancelFunc
+	address string
+	queue   chan *leader.Up
+	cancel  context.CancelFunc
 }
 
 // Open prepares the tables. It must be called before any other method.
@@ -174,16 +174,22 @@
 
 // Run keeps a stream to the leader until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
-	hint := ""
+	if r.Local == nil {
+		for n := range watchers {
+			go r.watch(ctx, n)
+		}
+	}
 	for ctx.Err() == nil {
-		if r.Local != nil && r.Local.Leading() {
-			sleep(ctx, retryDelay)
+		f, changed := r.who()
+		if f.address == "" || f.address == r.Name {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
 			continue
 		}
-		hint = r.connect(ctx, hint)
-		if hint == "" {
-			sleep(ctx, retryDelay)
-		}
+		r.serve(ctx, f.address)
+		sleep(ctx, retryDelay)
 	}
 }
 
@@ -194,92 +200,30 @@
 	}
 }
 
-// connect tries the hinted address, then all known ones, and serves the first
-// stream that reaches the leader until it breaks. It returns the next hint.
-func (r *Relayer) connect(ctx context.Context, hint string) string {
-	tried := make(map[string]bool)
-	queue := r.addresses(hint)
-	for len(queue) > 0 && ctx.Err() == nil {
-		address := queue[0]
-		queue = queue[1:]
-		if address == "" || address == r.Name || tried[address] {
-			continue
-		}
-		tried[address] = true
-		w := r.serve(ctx, address)
-		if w == nil {
-			continue
-		}
-		if w.Leading {
-			return "" // it was the leader and the stream broke
-		}
-		if w.Leader != "" && !tried[w.Leader] {
-			queue = slices.Insert(queue, 0, w.Leader)
-		}
-	}
-	return ""
-}
-
-func (r *Relayer) addresses(hint string) []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := []string{hint}
-	out = append(out, r.known...)
-	return append(out, r.Seeds()...)
-}
-
 // serve opens a stream and, if it reaches the leader, serves it until it breaks.
-// It returns nil when there was no answer.
-func (r *Relayer) serve(ctx context.Context, address string) *leader.Welcome {
+func (r *Relayer) serve(ctx context.Context, address string) {
 	conn, err := r.Dial(address)
 	if err != nil {
 		r.Log.Warn("connection can't be prepared", "address", address, "error", err)
-		return nil
+		return
 	}
 	defer func() { _ = conn.Close() }() // the stream has ended
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, welcome := r.greet(ctx, cancel, conn)
+	stream, welcome := greet(ctx, cancel, conn, &leader.Hello{Daemon: r.Name})
 	if welcome == nil {
-		return nil
+		return
 	}
-	r.learn(welcome.Members)
+	r.learnWelcome(welcome)
 	if !welcome.Leading {
-		return welcome
+		return
 	}
-	r.Log.Info("leader found", "address", address)
-	l := &link{queue: make(chan *leader.Up, upQueue), cancel: cancel}
+	r.Log.Info("leader found", "address", address, "term", welcome.Term)
+	l := &link{address: address, queue: make(chan *leader.Up, upQueue), cancel: cancel}
 	r.adopt(l)
 	err = r.pump(ctx, stream, l)
 	r.abandon(l)
 	r.Log.Info("leader lost", "address", address, "error", err)
-	return welcome
-}
-
-func (r *Relayer) greet(ctx context.Context, cancel func(), conn *grpc.ClientConn) (*leader.ClientStream, *leader.Welcome) {
-	timer := time.AfterFunc(welcomeTimeout, cancel)
-	defer timer.Stop()
-	stream, err := leader.Open(ctx, conn)
-	if err != nil {
-		return nil, nil
-	}
-	if err := stream.Send(&leader.Up{Hello: &leader.Hello{Daemon: r.Name}}); err != nil {
-		return nil, nil
-	}
-	m, err := stream.Recv()
-	if err != nil {
-		return nil, nil
-	}
-	return stream, m.Welcome
-}
-
-func (r *Relayer) learn(members []string) {
-	if len(members) == 0 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.known = slices.Clone(members)
 }
 
 // adopt makes a link the present one and sends the calls that wait.
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -5,10 +5,12 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"fmt"
 	"math/rand"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -88,7 +90,7 @@
 }
 
 func (s *Supervisor) openReplica(ctx context.Context) error {
-	identity, err := s.openStorage()
+	identity, err := s.awaitStorage(ctx)
 	if err != nil {
 		return err
 	}
@@ -103,12 +105,15 @@
 	}
 	core.Start(s.saved, s.clock.Steady())
 	s.client.Open()
-	s.node = &replicator.Node{Core: core, Storage: s.store, Sender: s.client, Now: s.clock.Steady}
+	s.node = &replicator.Node{
+		Core: core, Storage: s.store, Sender: s.client, Now: s.clock.Steady,
+		Failed: func(err error) { s.Log.Error("log can't be written; it is tried again", "error", err) },
+	}
 	s.node.Open()
 	s.coord = &coordinator.Coordinator{
 		Node: s.node, Clock: s.clock, Log: s.Log.Named("coordinator"), Dispatcher: s.disp, Name: planner.AdviserID(s.Settings.Name),
 		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region}},
-		MaxBytes: snapshotBytes, Changed: func(bool) {},
+		MaxBytes: snapshotBytes, Follow: s.Relayer.Learn,
 	}
 	s.coord.Open(ctx)
 	s.disp.Report = s.coord.Report
@@ -118,6 +123,35 @@
 	return s.coord.Restore(s.saved.Snapshot)
 }
 
+// awaitStorage opens the data folder, again and again while the disk takes
+// nothing. Damage and a folder of another daemon are errors at once.
+func (s *Supervisor) awaitStorage(ctx context.Context) (storer.Identity, error) {
+	for {
+		identity, err := s.openStorage()
+		if err == nil || !isFull(err) {
+			return identity, err
+		}
+		s.Log.Error("data folder can't be written; it is tried again", "error", err)
+		select {
+		case <-ctx.Done():
+			return identity, ctx.Err()
+		case <-time.After(diskRetry):
+		}
+	}
+}
+
+const diskRetry = 300 * time.Millisecond
+
+// isFull reports whether an error tells that a disk takes no more, or not now.
+func isFull(err error) bool {
+	for _, e := range []error{syscall.ENOSPC, syscall.EDQUOT, syscall.EIO, syscall.EROFS} {
+		if stderrors.Is(errors.Cause(err), e) {
+			return true
+		}
+	}
+	return false
+}
+
 // openStorage opens the data folder. An empty one gets an identity: that of a
 // first voter if the cell is being founded and this daemon is one of its seeds,
 // else a new one, with which the replica joins.
@@ -230,17 +264,6 @@
 	}
 }
 
-// Leader returns the address of the leader, or an empty text.
-func (s *Supervisor) Leader() string {
-	if s.node == nil {
-		return ""
-	}
-	if id := s.node.Status().Leader; id != "" {
-		return replicator.NameOf(id)
-	}
-	return ""
-}
-
 // handler takes in messages of the replicated log; the other methods of the
 // protocol have no use in a cell of workflows.
 type handler struct {
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/planner"
 	"masticroad/internal/workflow/tracker"
@@ -36,13 +37,17 @@
 // Hello names the daemon that opens a stream.
 type Hello struct {
 	Daemon string `cbor:"1,keyasint"`
+	// Watch asks only to be told who leads, now and whenever that changes.
+	Watch bool `cbor:"2,keyasint,omitempty"`
 }
 
-// Welcome tells whether the stream has reached the leader.
+// Welcome tells who leads. It is the first message of a stream, and comes again
+// on a stream that watches.
 type Welcome struct {
-	Leading bool     `cbor:"1,keyasint,omitempty"`
-	Leader  string   `cbor:"2,keyasint,omitempty"` // address of the leader, if it is known
-	Members []string `cbor:"3,keyasint,omitempty"` // addresses of the voters
+	Leading bool           `cbor:"1,keyasint,omitempty"` // the daemon that was called leads
+	Leader  string         `cbor:"2,keyasint,omitempty"` // address of the leader; empty: not known
+	Members []string       `cbor:"3,keyasint,omitempty"` // addresses of the voters
+	Term    registrar.Term `cbor:"4,keyasint,omitempty"` // in which Leader leads
 }
 
 // Call asks the leader for something. Exactly one of the fields after ID is
--- a/internal/peer/replica/client.go
+++ b/internal/peer/replica/client.go
@@ -25,9 +25,9 @@
 const (
 	queuedEnvelopes = 256
 	silenceLimit    = 1500 * time.Millisecond
-	redialDelay     = 100 * time.Millisecond
+	redialDelay     = 60 * time.Millisecond
 	callTimeout     = 10 * time.Second
-	dialTimeout     = time.Second
+	dialTimeout     = 300 * time.Millisecond // a VM that is starting drops the first packet, and a new dial is sooner than the kernel's repeat
 )
 
 // Peer is another daemon of the cell.
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -69,6 +69,8 @@
 	c.leader = ""
 	c.votes = map[ReplicaID]bool{c.ID: true}
 	c.resetElection(now)
+	// A pre-vote disturbs nobody, so it is repeated sooner than an election.
+	c.electionAt = now.Add(c.electionAt.Sub(now) / preVoteShare)
 	if c.won() {
 		c.startElection(now, false)
 		return
@@ -81,6 +83,9 @@
 	}
 }
 
+// preVoteShare divides the election timeout into the time between pre-votes.
+const preVoteShare = 3
+
 func (c *Core) startElection(now time.Time, force bool) {
 	c.role = Candidate
 	c.term++
