--- a/internal/daemon/coordinator/streams.go
+++ b/internal/daemon/coordinator/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -11,7 +12,10 @@
 
 // This file serves the streams of other daemons while this replica leads.
 
-const downQueue = 1024
+const (
+	downQueue     = 1024
+	streamSilence = 3 * time.Second // three signs of life of a daemon that watches, seven of one that calls
+)
 
 // stream is this daemon's end of another daemon's stream.
 type stream struct {
@@ -64,11 +68,14 @@
 
 func (c *Coordinator) receive(ctx context.Context, s *stream, conn leader.Stream) {
 	defer s.cancel()
+	silence := time.AfterFunc(streamSilence, s.cancel)
+	defer silence.Stop()
 	for {
 		m, err := conn.Recv()
 		if err != nil {
 			return
 		}
+		silence.Reset(streamSilence)
 		for i := range m.Tickets {
 			c.push(input{ask: &m.Tickets[i]})
 		}
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -40,8 +40,8 @@
 }
 
 const (
-	defaultOrder = 700 * time.Millisecond // forty round trips between regions
-	defaultLook  = 700 * time.Millisecond
+	defaultOrder = 400 * time.Millisecond // twenty round trips between regions
+	defaultLook  = 400 * time.Millisecond
 	defaultAsk   = 12 * time.Second // the service may have many calls before this one
 )
 
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -50,6 +50,7 @@
 	current *link // nil: there is no stream to a leader
 	known   []string
 	leader  found
+	lostAt  time.Time     // when current became nil
 	changed chan struct{} // closed when leader changes
 }
 
@@ -69,32 +70,66 @@
 // Open prepares the tables. It must be called before any other method.
 func (r *Relayer) Open() {
 	r.pending = make(map[uint64]*pending)
+	r.lostAt = r.Now()
 	r.changed = make(chan struct{})
 }
 
-// Do passes a call on and waits for its reply, or until ctx ends. The verdict
-// is Uncertain when the call may have been carried out, and NotReady when it
-// surely was not.
+// Do passes a call on and waits for its reply, or until ctx ends, which is when
+// the caller gives up. The verdict is Uncertain when the call may have been
+// carried out, and NotReady when it surely was not. While there is no leader,
+// calls wait as long as an election takes; after that they are refused at once,
+// so that they come back when there may be one.
 func (r *Relayer) Do(ctx context.Context, call leader.Call) leader.Reply {
 	sent := false
+	begun := r.Now()
 	for {
+		if !sent && r.hopeless() {
+			return noLeader
+		}
 		reply := r.try(ctx, call, &sent)
-		if reply.Verdict != planner.Uncertain {
+		switch {
+		case reply.Verdict != planner.Uncertain:
 			return reply
-		}
-		select {
-		case <-ctx.Done():
-			if !sent {
-				return leader.Reply{Verdict: planner.NotReady, RetryAfter: noLeaderRetry, Reason: "no leader was found"}
-			}
+		case ctx.Err() != nil && !sent:
+			return noLeader
+		case ctx.Err() != nil || sent && r.Now().Sub(begun) > uncertainTime:
 			return reply
-		case <-time.After(retryDelay):
 		}
+		sleep(ctx, retryDelay)
 	}
 }
 
-// noLeaderRetry is about the time that an election takes.
-const noLeaderRetry = time.Second
+// noLeader refuses a call that was not sent to any leader.
+var noLeader = leader.Reply{Verdict: planner.NotReady, RetryAfter: noLeaderRetry, Reason: "no leader was found"}
+
+// hopeless reports whether no leader has been in sight for longer than an
+// election takes.
+func (r *Relayer) hopeless() bool {
+	leading := r.Local != nil && r.Local.Leading()
+	return !leading && r.lostFor() > electionTime
+}
+
+const (
+	// electionTime is how long calls wait for a new leader. An election takes
+	// half of it; a leader that is missing longer may be missing for long.
+	electionTime = time.Second
+	// noLeaderRetry is the shortest pause that the protocol can name. Callers
+	// wait a few seconds in all.
+	noLeaderRetry = time.Second
+	// uncertainTime is how long a call waits that may have reached a leader; then
+	// another daemon may do better.
+	uncertainTime = 1500 * time.Millisecond
+)
+
+// lostFor returns how long there has been no way to a leader.
+func (r *Relayer) lostFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.current != nil {
+		return 0
+	}
+	return r.Now().Sub(r.lostAt)
+}
 
 func (r *Relayer) try(ctx context.Context, call leader.Call, sent *bool) leader.Reply {
 	if r.Local != nil && r.Local.Leading() {
@@ -109,6 +144,7 @@
 	p.sent = r.send(p.call)
 	r.mu.Unlock()
 	defer r.forget(p, sent)
+	begun := r.Now()
 	ticker := time.NewTicker(localCheck)
 	defer ticker.Stop()
 	for {
@@ -121,14 +157,23 @@
 			if r.Local != nil && r.Local.Leading() {
 				return leader.Reply{Verdict: planner.Uncertain, Reason: "this daemon leads now"}
 			}
+			if !r.wasSent(p) && r.hopeless() || r.wasSent(p) && r.Now().Sub(begun) > uncertainTime {
+				return leader.Reply{Verdict: planner.Uncertain, Reason: "no leader answered"}
+			}
 		}
 	}
 }
 
 // localCheck is the time after which a call notices that its own daemon has
-// begun to lead.
+// begun to lead, or that nobody does.
 const localCheck = 100 * time.Millisecond
 
+func (r *Relayer) wasSent(p *pending) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return p.sent
+}
+
 func (r *Relayer) doLocal(ctx context.Context, call leader.Call) leader.Reply {
 	done := make(chan leader.Reply, 1)
 	r.Local.Handle(ctx, call, func(reply leader.Reply) { done <- reply })
@@ -242,6 +287,7 @@
 	defer r.mu.Unlock()
 	if r.current == l {
 		r.current = nil
+		r.lostAt = r.Now()
 	}
 }
 
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -31,8 +31,10 @@
 	}
 	delete(p.steps, s.id)
 	p.order = slices.DeleteFunc(p.order, func(x *step) bool { return x == s })
-	if a := p.asks[s.asking]; a != nil {
-		a.step = nil
+	for _, a := range p.asks {
+		if a.step == s {
+			a.step = nil
+		}
 	}
 }
 
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -103,7 +103,7 @@
 	_, task := p.State.TaskOf(r.key.task)
 	return &StartOrder{
 		To: p.destination(t), Task: r.key.task, Number: r.key.number, Spec: r.job.rec.Def.Spec,
-		Deadline: p.extend(t, now), Checkpoint: task.Checkpoint, Ticket: r.ticket,
+		Deadline: p.extend(t, p.Limits.FirstLease, now), Checkpoint: task.Checkpoint, Ticket: r.ticket,
 	}
 }
 
@@ -176,9 +176,7 @@
 		return
 	case RefusedTicket:
 		p.dropTicket(r)
-	case RefusedUnwell:
-		r.target.pauseTill = now.Steady.Add(p.Limits.UnwellPause)
-	case RefusedRoom:
+	default:
 		r.target.pauseTill = now.Steady.Add(p.Limits.UnwellPause)
 	}
 	if r.state == runDoubtful || r.state == runInherited {
@@ -296,7 +294,7 @@
 }
 
 const (
-	orderTime  = time.Second            // an order is answered within it or counts as not answered
+	orderTime  = 500 * time.Millisecond // an order is answered within it or counts as not answered
 	stopMargin = 400 * time.Millisecond // over StopTime, until a stop is repeated
 )
 
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -63,13 +63,16 @@
 	UnwellPause time.Duration // a target that says it is not well gets no work for this long
 	GoneAfter   time.Duration // a silent target is forgotten
 	LateWindow  time.Duration // an order without an answer may be carried out this much later
-	Lease       time.Duration // of what a target runs; 0: the longest allowed
+	Lease       time.Duration // of what a target runs, when it answers
+	FirstLease  time.Duration // of a start, unless the target's lease is longer
 	DriftShare  float64       // a target's clock may be slow by this share
 }
 
 func (l *Limits) fill() {
-	setDefault(&l.LookWait, time.Second)             // a lease of 6 s is extended five times
-	setDefault(&l.IdleWait, 2*time.Second)           // the longest that targets take
+	setDefault(&l.LookWait, 500*time.Millisecond)    // a target that is gone is noticed within a second
+	setDefault(&l.IdleWait, 700*time.Millisecond)    // the same
+	setDefault(&l.Lease, 6*time.Second)              // outlasts a loss of power of all replicas for 4 s
+	setDefault(&l.FirstLease, 2500*time.Millisecond) // outlasts an election by a second
 	setDefault(&l.LookRetry, 150*time.Millisecond)   // ten round trips between regions
 	setDefault(&l.OrderRetry, 100*time.Millisecond)  // the same
 	setDefault(&l.UnwellPause, 500*time.Millisecond) // a third of the time between announcements
@@ -261,14 +264,11 @@
 
 // extend returns an end of the lease that may be sent now, and notes until when
 // the target's runs may go on because of it.
-func (p *Planner) extend(t *target, now Moment) ClockMillis {
+func (p *Planner) extend(t *target, lease time.Duration, now Moment) ClockMillis {
 	if !t.hasClock {
 		return 0
 	}
-	lease := p.Limits.Lease
-	if lease == 0 || lease > p.Settings.MaxLease {
-		lease = p.Settings.MaxLease
-	}
+	lease = min(lease, p.Settings.MaxLease)
 	onTarget := t.clock + ClockMillis(now.Steady.Sub(t.clockAt).Milliseconds())
 	t.deadline = max(t.deadline, onTarget+ClockMillis(lease.Milliseconds()))
 	left := time.Duration(t.deadline-t.clock) * time.Millisecond
@@ -306,7 +306,7 @@
 		order.Wait = 0
 	}
 	if t.failures == 0 {
-		order.Deadline = p.extend(t, now)
+		order.Deadline = p.extend(t, p.Limits.Lease, now)
 	}
 	p.after(Action{Look: order})
 }
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -31,6 +31,7 @@
 	id        AdviserID
 	busyUntil time.Time // by the declared times of the calls before
 	calls     int
+	late      int // answers missing beyond their time, in a row
 }
 
 // ask is a call of the service.
@@ -40,6 +41,7 @@
 	targets  []tracker.TargetID
 	through  *adviser
 	deadline time.Time
+	overdue  bool // the step asks again; an answer is still of use
 }
 
 // AddAdviser lets the service be called through a daemon.
@@ -61,11 +63,13 @@
 }
 
 const (
-	maxNamed     = 100 // targets in one call
-	maxCalls     = 16  // waiting calls through one daemon; the service takes 32
-	askTimeout   = 4 * time.Second
-	askRetry     = 200 * time.Millisecond
-	nearEnough   = 3 // targets named for each that is needed, when it is not known which are admitted
+	maxNamed     = 100                    // targets in one call; the service takes no more
+	maxCalls     = 16                     // waiting calls through one daemon; the service takes 32
+	askMargin    = 250 * time.Millisecond // over the declared time: a dozen round trips between regions
+	askForget    = 10 * time.Second       // an answer that is later than this is of no use
+	askRetry     = 100 * time.Millisecond // pause after a call that failed
+	latePause    = 2 * time.Second        // a daemon whose answers are late is passed over for this long
+	nearEnough   = 3                      // targets named for each that is needed, when it is not known which are admitted
 	namedAtLeast = 8
 )
 
@@ -91,7 +95,7 @@
 	through.busyUntil = begin.Add(cost)
 	through.calls++
 	p.nextAsk++
-	a := &ask{id: p.nextAsk, step: s, targets: named, through: through, deadline: through.busyUntil.Add(askTimeout)}
+	a := &ask{id: p.nextAsk, step: s, targets: named, through: through, deadline: through.busyUntil.Add(askMargin)}
 	p.asks[a.id] = a
 	s.asking = a.id
 	p.Counters.Asked++
@@ -157,11 +161,14 @@
 		return
 	}
 	p.endAsk(a)
+	a.through.late = 0
 	s := a.step
 	if s == nil {
 		return
 	}
-	s.asking = 0
+	if s.asking == a.id {
+		s.asking = 0
+	}
 	valid := s.job.rec.Queue.Licence.Valid - ticketMargin
 	for _, id := range a.targets {
 		text, ok := r.Admitted[id]
@@ -181,17 +188,34 @@
 func (p *Planner) failAsk(a *ask, now Moment) {
 	p.endAsk(a)
 	p.note("no answer about tickets", "ask", int64(a.id), "through", a.through.id, "targets", len(a.targets))
-	if a.step != nil {
-		a.step.asking = 0
-		a.step.askAfter = now.Steady.Add(askRetry)
-		p.dirty = true
+	p.freeAsker(a, now.Steady.Add(askRetry))
+}
+
+// freeAsker lets the step of a call ask again.
+func (p *Planner) freeAsker(a *ask, after time.Time) {
+	if a.step == nil || a.step.asking != a.id {
+		return
 	}
+	a.step.asking = 0
+	a.step.askAfter = after
+	p.dirty = true
 }
 
+// checkAsks lets steps ask through other daemons when an answer is overdue.
 func (p *Planner) checkAsks(now Moment) {
 	for _, a := range p.asks {
-		if now.Steady.After(a.deadline) {
-			p.failAsk(a, now)
+		switch {
+		case now.Steady.Sub(a.deadline) > askForget:
+			p.endAsk(a)
+		case !a.overdue && now.Steady.After(a.deadline):
+			a.overdue = true
+			a.through.late++
+			pause := now.Steady.Add(latePause)
+			if a.through.busyUntil.Before(pause) {
+				a.through.busyUntil = pause
+			}
+			p.note("answer about tickets is overdue", "ask", int64(a.id), "through", a.through.id, "late", a.through.late)
+			p.freeAsker(a, now.Steady)
 		}
 	}
 }
