--- a/internal/daemon/relayer/find.go
+++ b/internal/daemon/relayer/find.go
@@ -1,11 +1,12 @@
 package relayer
 
 import (
+	"cmp"
 	"context"
-	"hash/fnv"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	"masticroad/internal/control/registrar"
@@ -22,6 +23,8 @@
 	welcomeTimeout = 400 * time.Millisecond // for connecting and the first answer: twenty round trips between regions
 	watchPing      = time.Second            // between signs of life on a watching stream
 	watchSilence   = 2500 * time.Millisecond
+	doubtTime      = 350 * time.Millisecond // without a leader, until other daemons are watched
+	settleTime     = 10 * time.Second       // until a daemon that was not the preferred one is given up
 )
 
 // found is who leads, as far as this daemon knows.
@@ -41,6 +44,7 @@
 		return
 	}
 	r.leader = found{address, term}
+	r.Log.Info("leader changed", "address", address, "term", term)
 	close(r.changed)
 	r.changed = make(chan struct{})
 	if r.current != nil && r.current.address != address && address != "" {
@@ -61,20 +65,26 @@
 	return f.address
 }
 
-// watch watches one daemon after the other until ctx ends. Number spreads
-// several watchers over the daemons.
+// watch watches one daemon after the other until ctx ends. Number tells which
+// one it prefers, so that the watchers of all daemons are spread.
 func (r *Relayer) watch(ctx context.Context, number int) {
 	for turn := number; ctx.Err() == nil; turn++ {
 		addresses := r.addresses()
-		if len(addresses) > 0 {
-			r.watchOne(ctx, addresses[turn%len(addresses)])
+		if len(addresses) == 0 {
+			sleep(ctx, retryDelay)
+			continue
+		}
+		preferred := addresses[number%len(addresses)]
+		address := addresses[turn%len(addresses)]
+		if r.watchOne(ctx, address, preferred) {
+			turn = number - 1 // the preferred one next
 		}
 		sleep(ctx, retryDelay)
 	}
 }
 
-// addresses returns all daemons that may know the leader, beginning at a place
-// that differs between daemons.
+// addresses returns all daemons that may know the leader, in an order that
+// differs between daemons.
 func (r *Relayer) addresses() []string {
 	r.mu.Lock()
 	out := slices.Clone(r.known)
@@ -85,42 +95,66 @@
 		}
 	}
 	out = slices.DeleteFunc(out, func(a string) bool { return a == r.Name })
-	if len(out) == 0 {
-		return nil
-	}
-	slices.Sort(out)
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(r.Name)) // never fails
-	begin := int(h.Sum32() % uint32(len(out)))
-	return append(out[begin:], out[:begin]...)
+	slices.SortFunc(out, func(a, b string) int { return cmp.Compare(r.rank(a), r.rank(b)) })
+	return out
 }
 
-func (r *Relayer) watchOne(ctx context.Context, address string) {
+// rank orders the daemons to be watched.
+func (r *Relayer) rank(address string) uint64 {
+	return xxhash.Sum64String(r.Name + " " + address)
+}
+
+// watchOne watches a daemon until its stream ends. It returns true when the
+// stream was ended for the preferred daemon to be tried.
+func (r *Relayer) watchOne(ctx context.Context, address, preferred string) bool {
 	conn, err := r.Dial(address)
 	if err != nil {
 		r.Log.Warn("connection can't be prepared", "address", address, "error", err)
-		return
+		return false
 	}
 	defer func() { _ = conn.Close() }() // the stream has ended
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, w := greet(ctx, cancel, conn, &leader.Hello{Daemon: r.Name, Watch: true})
 	if w == nil {
-		return
+		return false
 	}
 	r.learnWelcome(w)
+	go r.doubt(ctx, cancel)
 	silence := time.AfterFunc(watchSilence, cancel)
 	defer silence.Stop()
 	go ping(ctx, stream, watchPing)
+	begun := r.Now()
 	for {
 		m, err := stream.Recv()
 		if err != nil {
-			return
+			return false
 		}
 		silence.Reset(watchSilence)
 		if m.Welcome != nil {
 			r.learnWelcome(m.Welcome)
 		}
+		if address != preferred && r.Now().Sub(begun) > settleTime {
+			return true
+		}
+	}
+}
+
+// doubt ends the stream to a watched daemon that does not lead this one to the
+// leader: it may be cut off itself.
+func (r *Relayer) doubt(ctx context.Context, cancel func()) {
+	tick := time.NewTicker(doubtTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if r.lostFor() > doubtTime {
+			cancel()
+			return
+		}
 	}
 }
 
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -257,10 +257,12 @@
 	defer cancel()
 	stream, welcome := greet(ctx, cancel, conn, &leader.Hello{Daemon: r.Name})
 	if welcome == nil {
+		r.Log.Debug("no answer from the daemon that is said to lead", "address", address)
 		return
 	}
 	r.learnWelcome(welcome)
 	if !welcome.Leading {
+		r.Log.Debug("the daemon that is said to lead does not", "address", address, "term", welcome.Term)
 		return
 	}
 	r.Log.Info("leader found", "address", address, "term", welcome.Term)
