--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -19,7 +19,8 @@
 	chains   []time.Duration // longest time from the begin of each step to the end of the job
 	deadline time.Time       // objective of occurrence 0
 	runs     map[runKey]*run
-	passed   []passage // steps that are done
+	passed   []passage             // steps that are done
+	failures map[*target]time.Time // when its runs failed on targets last
 	// estimates holds the declared run times, since declarations are dropped at
 	// the job's end.
 	estimates []time.Duration
@@ -33,6 +34,24 @@
 	reruns int
 }
 
+// failedOn notes a target on which a run of the job has failed.
+func (j *job) failedOn(t *target, now Moment) {
+	if j.failures == nil {
+		j.failures = make(map[*target]time.Time)
+	}
+	j.failures[t] = now.Steady
+}
+
+// avoids reports whether the job should try other targets first, of a pool of
+// some size: attempts are few, and a target that has failed it may fail it
+// again.
+func (j *job) avoids(t *target, poolSize int, now Moment) bool {
+	at, failed := j.failures[t]
+	return failed && now.Steady.Sub(at) < avoidTime && 2*len(j.failures) < poolSize
+}
+
+const avoidTime = 8 * time.Second // faults of targets were seen to last 4 to 7 s
+
 // pass notes that a step is done. The step was placed by an earlier leader if
 // this one placed none of its tasks.
 func (j *job) pass(s *step, now Moment) {
@@ -67,6 +86,9 @@
 	asking   AskID // 0: none
 	askAfter time.Time
 	gangHold time.Time
+	took     []time.Duration // run times of tasks that are done
+	moves    map[int]int     // moves and copies of each task
+	usual    time.Duration   // run time of a task, as far as is known
 }
 
 // addJob begins to follow a job of the tables.
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -70,7 +70,7 @@
 	s.waiting = left
 	p.commitStarts(s, starts, now)
 	if len(s.waiting) > 0 {
-		p.seekRoom(s, pl, now)
+		p.seekRoom(s, pl, len(s.waiting), now)
 	}
 }
 
@@ -114,13 +114,18 @@
 // choose returns the target on which one more task of the step should run, or
 // nil.
 func (p *Planner) choose(s *step, pl *pool, now Moment) *target {
+	return p.chooseBut(s, pl, nil, now)
+}
+
+// chooseBut is choose for a task that must not run on a given target.
+func (p *Planner) chooseBut(s *step, pl *pool, not *target, now Moment) *target {
 	var best *target
 	var bestScore float64
 	for _, t := range pl.targets {
-		if !p.allowed(s, t, now) || !p.fits(s, t) {
+		if t == not || !p.allowed(s, t, now) || !p.fits(s, t) || s.job.avoids(t, len(pl.targets), now) {
 			continue
 		}
-		if score := p.score(s, t); best == nil || score < bestScore {
+		if score := p.score(s, t, now); best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
 	}
@@ -129,7 +134,7 @@
 
 // allowed reports whether a step may run on a target at all, now.
 func (p *Planner) allowed(s *step, t *target, now Moment) bool {
-	if !t.open(now) || s.def.Label != "" && !t.rec.HasLabel(s.def.Label) {
+	if !t.open(now) || !t.trusted(now) || s.def.Label != "" && !t.rec.HasLabel(s.def.Label) {
 		return false
 	}
 	return !s.job.rec.Queue.Licence.Needed || s.tickets[t.rec.ID].valid(now)
@@ -170,7 +175,7 @@
 
 // score ranks the targets on which a task fits; the lowest is taken. A target
 // with less room left over is better, so that large tasks find room elsewhere.
-func (p *Planner) score(s *step, t *target) float64 {
+func (p *Planner) score(s *step, t *target, now Moment) float64 {
 	free := t.rec.Capacity.Minus(t.used).Minus(s.def.Charge())
 	score := free.DominantShare(t.rec.Capacity)
 	if s.def.Fills {
@@ -179,11 +184,10 @@
 	if s.def.Rack != "" && t.rec.Rack != s.def.Rack {
 		score += remotePenalty
 	}
-	return score + t.health.penalty()
+	return score + t.health.penalty(now.Steady)
 }
 
-// remotePenalty is larger than any difference in room, which is at most 1.
-const remotePenalty = 2.0
+const remotePenalty = 2.0 // larger than any difference in room, which is at most 1
 
 // placeGang starts all tasks of a gang together, or none.
 func (p *Planner) placeGang(s *step, now Moment) {
@@ -203,7 +207,7 @@
 		t := p.choose(s, pl, now)
 		if t == nil {
 			p.unreserve(runs)
-			p.seekRoom(s, pl, now)
+			p.seekRoom(s, pl, len(s.waiting), now)
 			return
 		}
 		runs = append(runs, p.reserveRun(s, index, number, t, now))
@@ -223,10 +227,11 @@
 	}
 }
 
-// seekRoom prepares a start that has no room or no ticket yet.
-func (p *Planner) seekRoom(s *step, pl *pool, now Moment) {
+// seekRoom prepares the start of a number of tasks that have no room or no
+// ticket yet.
+func (p *Planner) seekRoom(s *step, pl *pool, tasks int, now Moment) {
 	if s.job.rec.Queue.Licence.Needed {
-		p.askTickets(s, pl, now)
+		p.askTickets(s, pl, tasks, now)
 	}
 }
 
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -64,17 +64,20 @@
 	advisers map[AdviserID]*adviser
 	asks     map[AskID]*ask
 	nextAsk  AskID
+	biases   map[definer.QueueName]*bias
 	dirty    bool // something changed that placement depends on
 	order    []*step
 	sweepAt  time.Time
-	Counters Counters
+	// progressAt is when the progress of runs was checked last.
+	progressAt time.Time
+	Counters   Counters
 
 	round Round
 }
 
 // Counters count decisions since Begin.
 type Counters struct {
-	Accepted, Refused, Started, Done, Failed, Stopped, Lost, TurnedAway, Asked, Preempted int
+	Accepted, Refused, Started, Stopped, Lost, TurnedAway, Asked, Preempted, Moved, Copies int
 }
 
 // Round is the result of the calls since the last one.
@@ -104,6 +107,7 @@
 	p.repeats = make(map[definer.JobID]bool)
 	p.advisers = make(map[AdviserID]*adviser)
 	p.asks = make(map[AskID]*ask)
+	p.biases = make(map[definer.QueueName]*bias)
 	p.order = nil
 	p.round = Round{}
 	p.Counters = Counters{}
@@ -163,6 +167,10 @@
 	p.beginOccurrences(now)
 	p.checkTargets(now)
 	p.checkAsks(now)
+	if now.Steady.Sub(p.progressAt) >= progressInterval {
+		p.progressAt = now.Steady
+		p.checkProgress(now)
+	}
 	p.forget(now)
 	p.dirty = true
 }
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -50,7 +50,9 @@
 	overSince  time.Time // its tail has been over its bound since then
 	pace       int       // percent that was ordered; 100 at first
 	paceAt     time.Time
-	atWork     bool // a task that lasts has come up
+	atWork     bool      // a task that lasts has come up
+	movedAt    time.Time // when its progress changed last
+	resumed    bool      // it began at a checkpoint
 }
 
 // unanswered reports whether an order to start may yet be carried out.
@@ -92,6 +94,7 @@
 		return
 	}
 	r.sentAt = now.Steady
+	r.resumed = o.Checkpoint != ""
 	p.after(Action{Start: o})
 }
 
@@ -249,6 +252,9 @@
 	if x.Checkpoint != "" {
 		r.checkpoint = x.Checkpoint
 	}
+	if x.Percent != r.percent || r.movedAt.IsZero() {
+		r.movedAt = report.Received
+	}
 	r.percent, r.gauge, r.gaugeAt = x.Percent, x.Gauge, report.Received
 	if r.def.Lasting && x.Percent >= fullPace {
 		r.atWork = true
@@ -306,6 +312,9 @@
 	t.used = t.used.Minus(r.charge)
 	p.dirty = true
 	p.judge(r, how, now)
+	if how == tracker.EndDone {
+		p.observeDone(r, now)
+	}
 	if how != tracker.EndDone {
 		p.note("run ended", "task", r.key.task.String(), "run", int(r.key.number), "target", t.rec.ID, "how", how.String(), "reason", reason,
 			"stop", r.stopReason)
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -74,7 +74,7 @@
 )
 
 // askTickets calls the service for a step that waits for tickets.
-func (p *Planner) askTickets(s *step, pl *pool, now Moment) {
+func (p *Planner) askTickets(s *step, pl *pool, tasks int, now Moment) {
 	if s.asking != 0 || now.Steady.Before(s.askAfter) {
 		return
 	}
@@ -82,7 +82,7 @@
 	if through == nil {
 		return
 	}
-	named := p.candidates(s, pl, now)
+	named := p.candidates(s, pl, tasks, now)
 	if len(named) == 0 {
 		return
 	}
@@ -117,10 +117,11 @@
 
 // candidates returns the targets to name in a call: those with room whose
 // admission is known first, then those of which nothing is known.
-func (p *Planner) candidates(s *step, pl *pool, now Moment) []tracker.TargetID {
+func (p *Planner) candidates(s *step, pl *pool, waiting int, now Moment) []tracker.TargetID {
 	var known, unknown []*target
 	for _, t := range pl.targets {
-		if !t.open(now) || s.def.Label != "" && !t.rec.HasLabel(s.def.Label) || !p.fits(s, t) || s.tickets[t.rec.ID].valid(now) {
+		if !t.open(now) || !t.trusted(now) || s.def.Label != "" && !t.rec.HasLabel(s.def.Label) || !p.fits(s, t) || s.tickets[t.rec.ID].valid(now) ||
+			s.job.avoids(t, len(pl.targets), now) {
 			continue
 		}
 		admitted, asked := s.admitted[t.rec.ID]
@@ -131,10 +132,9 @@
 			unknown = append(unknown, t)
 		}
 	}
-	byScore := func(a, b *target) int { return cmp.Compare(p.score(s, a), p.score(s, b)) }
+	byScore := func(a, b *target) int { return cmp.Compare(p.score(s, a, now), p.score(s, b, now)) }
 	slices.SortStableFunc(known, byScore)
 	slices.SortStableFunc(unknown, byScore)
-	waiting := len(s.waiting)
 	known = known[:min(len(known), waiting)]
 	missing := waiting - len(known)
 	n := 0
