--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -30,7 +30,7 @@
 	maxGather    = 4096
 	maxInflight  = 16                     // rounds on their way to a majority
 	idleInterval = time.Second            // of the loop of a replica that does not lead
-	noteLimit    = 400                    // log lines a second
+	noteLimit    = 1500                   // log lines a second
 	roundDelay   = 5 * time.Millisecond   // least time between rounds: half a synced write
 	leaseRetry   = 100 * time.Millisecond // until a read is tried again without a lease
 )
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -40,8 +40,8 @@
 }
 
 const (
-	defaultOrder = 400 * time.Millisecond // twenty round trips between regions
-	defaultLook  = 400 * time.Millisecond
+	defaultOrder = 200 * time.Millisecond // ten round trips between regions; orders may be repeated
+	defaultLook  = 300 * time.Millisecond
 	defaultAsk   = 12 * time.Second // the service may have many calls before this one
 )
 
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -29,7 +29,7 @@
 // passage tells where the time of a step went, for the log.
 type passage struct {
 	step   definer.StepID
-	waited time.Duration // until the last of its tasks was placed
+	waited time.Duration // until each of its tasks was placed once
 	ran    time.Duration // from then to the end of the step
 	reruns int
 }
@@ -78,7 +78,7 @@
 	priority int
 	latest   time.Time // it must begin by then to meet the job's objective
 	since    time.Time // it has been ready since then
-	placed   time.Time // when the newest run was decided
+	placed   time.Time // when the newest first run of a task was decided
 	reruns   int       // runs beyond the first of each task
 	waiting  []int     // tasks without a run, that are not done
 	admitted map[tracker.TargetID]bool
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -86,8 +86,9 @@
 	r := p.addRun(s.job, s.def, runKey{s.id.Task(index), number}, t, runOrdered, now)
 	r.ticket = s.tickets[t.rec.ID].text
 	p.Counters.Started++
-	s.placed = now.Steady
-	if number > 1 {
+	if number == 1 {
+		s.placed = now.Steady
+	} else {
 		s.reruns++
 	}
 	return r
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -68,6 +68,8 @@
 	dirty    bool // something changed that placement depends on
 	order    []*step
 	sweepAt  time.Time
+	misses   int       // calls without an answer, of late
+	missedAt time.Time // the newest of them
 	// progressAt is when the progress of runs was checked last.
 	progressAt time.Time
 	Counters   Counters
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -151,13 +151,31 @@
 
 func (p *Planner) unansweredOrder(t *target, r *run, o *OrderReport, now Moment) {
 	p.missed(t, now)
-	if r == nil || o.Stop {
+	if r == nil || r.stopping && !o.Stop {
+		return
+	}
+	if o.Stop {
+		if t.answers {
+			p.sendStop(r, now)
+		}
 		return
 	}
 	if r.state == runOrdered {
 		r.state = runDoubtful
 	}
 	r.retryAt = now.Steady.Add(p.Limits.OrderRetry)
+	if t.answers {
+		p.repeatStart(r, now)
+	}
+}
+
+// repeatStart sends an order to start that got no answer again. The target
+// starts a run once.
+func (p *Planner) repeatStart(r *run, now Moment) {
+	if o := p.startOrder(r, now); o != nil {
+		r.retryAt = now.Steady.Add(orderTime)
+		p.after(Action{Start: o})
+	}
 }
 
 func (p *Planner) takeStartAnswer(r *run, o *OrderReport, now Moment) {
@@ -288,10 +306,7 @@
 func (p *Planner) checkRuns(t *target, now Moment) {
 	for _, r := range t.runs {
 		if r.state == runDoubtful && !r.stopping && !now.Steady.Before(r.retryAt) {
-			if o := p.startOrder(r, now); o != nil {
-				r.retryAt = now.Steady.Add(orderTime)
-				p.after(Action{Start: o})
-			}
+			p.repeatStart(r, now)
 		}
 		if r.stopping && now.Steady.Sub(r.stopSentAt) > p.Settings.StopTime+stopMargin {
 			p.sendStop(r, now)
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -58,6 +58,7 @@
 type Limits struct {
 	LookWait    time.Duration // a look waits this long for an end
 	IdleWait    time.Duration // the same at a target that runs nothing
+	LossyWait   time.Duration // the same while answers are missing
 	LookRetry   time.Duration // pause after a look without an answer
 	OrderRetry  time.Duration // pause after an order without an answer
 	UnwellPause time.Duration // a target that says it is not well gets no work for this long
@@ -73,6 +74,7 @@
 	setDefault(&l.IdleWait, 700*time.Millisecond)    // the same
 	setDefault(&l.Lease, 6*time.Second)              // outlasts a loss of power of all replicas for 4 s
 	setDefault(&l.FirstLease, 2500*time.Millisecond) // outlasts an election by a second
+	setDefault(&l.LossyWait, 150*time.Millisecond)   // an end is noticed within half a second though a look is lost
 	setDefault(&l.LookRetry, 150*time.Millisecond)   // ten round trips between regions
 	setDefault(&l.OrderRetry, 100*time.Millisecond)  // the same
 	setDefault(&l.UnwellPause, 500*time.Millisecond) // a third of the time between announcements
@@ -301,7 +303,7 @@
 // look orders the next look at a target.
 func (p *Planner) look(t *target, now Moment) {
 	t.looking = true
-	order := &LookOrder{To: p.destination(t), Cursor: t.seen, Wait: p.lookWait(t)}
+	order := &LookOrder{To: p.destination(t), Cursor: t.seen, Wait: p.lookWait(t, now)}
 	if !t.fenced || t.failures > 0 {
 		order.Wait = 0
 	}
@@ -311,13 +313,27 @@
 	p.after(Action{Look: order})
 }
 
-func (p *Planner) lookWait(t *target) time.Duration {
-	if len(t.runs) == 0 {
+func (p *Planner) lookWait(t *target, now Moment) time.Duration {
+	switch {
+	case len(t.runs) == 0:
 		return p.Limits.IdleWait
+	case p.lossy(now):
+		return p.Limits.LossyWait
 	}
 	return p.Limits.LookWait
 }
 
+// lossy reports whether answers have been missing lately. A look without an
+// answer hides the ends on its target for as long as it waits.
+func (p *Planner) lossy(now Moment) bool {
+	return p.misses >= lossyMisses && now.Steady.Sub(p.missedAt) < lossyTime
+}
+
+const (
+	lossyMisses = 3
+	lossyTime   = 2 * time.Second // about twice the time until a look without an answer is noticed
+)
+
 // Looked takes in what a target runs and what has ended there.
 func (p *Planner) Looked(r *LookReport, now Moment) {
 	t := p.targets[r.Target]
@@ -326,6 +342,7 @@
 	}
 	t.looking = false
 	if !r.Answered {
+		t.failures++ // a look waits long enough to count twice
 		p.missed(t, now)
 		t.lookDue = now.Steady.Add(p.Limits.LookRetry)
 		return
@@ -355,16 +372,26 @@
 	t.takeClock(clock, received)
 }
 
-// missed notes a call without an answer: the target gets no new work until it
-// answers again.
+// missed notes a call without an answer. After two in a row the target gets no
+// new work until it answers again; a single one may have been lost.
 func (p *Planner) missed(t *target, now Moment) {
+	if now.Steady.Sub(p.missedAt) >= lossyTime {
+		p.misses = 0
+	}
+	p.misses++
+	p.missedAt = now.Steady
+	t.failures++
+	if t.failures < missesInARow {
+		return
+	}
 	if t.answers {
 		p.note("target does not answer", "target", t.rec.ID, "runs", len(t.runs), "lease", t.leaseEnd.Sub(now.Steady).Milliseconds())
 	}
 	t.answers = false
-	t.failures++
 }
 
+const missesInARow = 2 // calls without an answer
+
 func (p *Planner) lookRefused(t *target, r *LookReport, now Moment) {
 	t.lookDue = now.Steady.Add(p.Limits.LookRetry)
 	switch {
