Play the planner against emulated targets in virtual time; tell new lives by their clocks

Cause (simulator, seeds with Rough): a target that came back under its id within one announcement answered orders as its earlier life, so the tables charged a run there that the new life also held (over capacity), or waited for ends of the life before. Runs that a target lists and the tables don't have were not charged. Change: a clock that goes back by more than a second marks a new life; strays take room until they are gone; starts are repeated only to a target that answers; decisions go through runs, asks and repeats in order, so that a seed repeats.

--- /dev/null
+++ b/internal/load/simulator/callers.go
@@ -0,0 +1,353 @@
+package simulator
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/load/emulator"
+	"masticroad/internal/workflow/definer"
+	"masticroad/internal/workflow/planner"
+	"masticroad/internal/workflow/tracker"
+)
+
+// This file holds callers: kinds of jobs, submissions with repeats, looks at
+// the state, cancellations, and how well they are served.
+
+// Kind is a kind of job.
+type Kind struct {
+	Name        string
+	Rate        float64 // jobs a second
+	Steps       float64 // mean; at least 1
+	Width       float64 // mean tasks of a step
+	Run         time.Duration
+	CPU, Memory float64 // mean of a task, thousandths of a processor and MiB
+	Priority    int
+	MaxAttempts int
+	Slack       float64
+	Grace       time.Duration
+	Worth       float64
+	ErrorShare  float64 // of runs that fail by themselves
+	Estimate    float64 // spread of declared against actual run times
+	Uneven      float64 // spread of run times within a step
+	Saves       float64 // share of steps with checkpoints
+	Gang        float64 // share of gangs
+	Copies      float64 // share of steps of which copies may run
+	Apart       float64 // share of steps with a bound on tasks per target
+	Cancel      float64 // share of jobs that are cancelled
+	Lasting     bool
+	Stays       time.Duration // until a lasting job is cancelled
+	Licence     definer.Licence
+	Admitted    float64 // share of targets that get a ticket
+	Burst       float64 // factor of the rate in the burst
+	Poison      float64 // share of jobs that can't be done
+}
+
+// KindResult tells how the callers of a kind were served.
+type KindResult struct {
+	Jobs, InTime, Late, Failed int
+	Credit, Owed               float64
+	Waits                      []time.Duration // from submission to completion, against the objective
+}
+
+// client is the caller of one job.
+type client struct {
+	id        definer.JobID
+	kind      int
+	def       *definer.Job
+	sent      time.Time
+	objective time.Duration
+	accepted  bool
+	poison    bool
+	cancelled bool
+	over      bool
+	tries     int
+}
+
+func (c *client) describe() string {
+	return fmt.Sprintf("accepted %t, cancelled %t, steps %v", c.accepted, c.cancelled, stepsOf(c.def))
+}
+
+func stepsOf(j *definer.Job) []string {
+	out := make([]string, len(j.Steps))
+	for i := range j.Steps {
+		out[i] = j.Steps[i].String()
+	}
+	return out
+}
+
+// draw returns a number in [0, 1) that depends on a seed and a name alone.
+func draw(seed uint64, name string) float64 {
+	h := xxhash.New()
+	_, _ = fmt.Fprintf(h, "%d %s", seed, name) // never fails
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+func (s *Simulation) putDocument() {
+	d := &definer.Document{Version: 1, Source: []byte("{}"), Pools: []definer.Pool{{Name: poolName}}}
+	for i := range s.Mix {
+		k := &s.Mix[i]
+		q := definer.Queue{
+			Name: definer.QueueName(k.Name), Host: "h", Prefix: "/" + k.Name + "/", Pool: poolName, Priority: k.Priority, MaxAttempts: k.MaxAttempts,
+			Slack: k.Slack, Grace: k.Grace, Timeout: 3 * time.Second,
+		}
+		if s.Licensed {
+			q.Licence = k.Licence
+		}
+		d.Queues = append(d.Queues, q)
+	}
+	s.document = d
+	var put func()
+	put = func() {
+		if s.committed.Document != nil {
+			return
+		}
+		s.tell(func(p *planner.Planner, now planner.Moment) { p.Put(d, func() {}, now) })
+		s.in(300*time.Millisecond, put)
+	}
+	put()
+}
+
+func (s *Simulation) beginLoad() {
+	for i := range s.Mix {
+		s.nextOf(i)
+	}
+}
+
+// nextOf submits the next job of a kind after a random time.
+func (s *Simulation) nextOf(kind int) {
+	k := &s.Mix[kind]
+	rate := k.Rate
+	if since := s.now.Sub(s.begun); k.Burst > 0 && since > burstBegin && since < burstEnd {
+		rate *= k.Burst
+	}
+	s.in(time.Duration(s.rand.ExpFloat64()/rate*float64(time.Second)), func() {
+		if s.healed {
+			return
+		}
+		s.submitNew(kind)
+		s.nextOf(kind)
+	})
+}
+
+const (
+	burstBegin = 10 * time.Second
+	burstEnd   = 14 * time.Second
+)
+
+func (s *Simulation) submitNew(kind int) {
+	k := &s.Mix[kind]
+	s.nextJob++
+	c := &client{id: definer.JobID(s.nextJob), kind: kind, sent: s.now, poison: s.rand.Float64() < k.Poison}
+	c.def = s.newJob(c.id, k)
+	s.jobs[c.id] = c
+	c.objective = time.Duration(k.Slack*float64(s.chain(c)))*1 + k.Grace
+	s.audit.Submitted(c.def, k.MaxAttempts)
+	r := &s.Result.Kinds[kind]
+	r.Jobs++
+	r.Owed += k.Worth
+	s.submit(c)
+	switch {
+	case k.Lasting:
+		s.in(s.between(k.Stays/2, k.Stays*3/2), func() { s.cancel(c) })
+	case s.rand.Float64() < k.Cancel:
+		r.Owed -= k.Worth
+		s.in(s.between(0, 2*k.Run), func() { s.cancel(c) })
+	}
+}
+
+// spread returns a random factor around 1.
+func (s *Simulation) spread(sigma float64) float64 {
+	return math.Exp(s.rand.NormFloat64()*sigma - sigma*sigma/2)
+}
+
+func (s *Simulation) newJob(id definer.JobID, k *Kind) *definer.Job {
+	def := &definer.Job{ID: id, Spec: fmt.Sprintf("job %s", id)}
+	steps := 1
+	for !k.Lasting && steps < maxSteps && s.rand.Float64() < 1-1/k.Steps {
+		steps++
+	}
+	for i := range steps {
+		run := time.Duration(float64(k.Run) * s.spread(0.5))
+		st := definer.Step{
+			Count: max(1, int(k.Width*s.spread(0.6))), Estimate: time.Duration(float64(run) * s.spread(k.Estimate)),
+			Need:    registrar.Need{CPU: registrar.MilliCPU(min(k.CPU*s.spread(0.45), 7000)), Memory: registrar.MiB(min(k.Memory*s.spread(0.5), 14000))},
+			Lasting: k.Lasting, Checkpointing: s.rand.Float64() < k.Saves, Gang: s.rand.Float64() < k.Gang,
+		}
+		if st.Gang {
+			st.Count = min(st.Count, 6)
+		} else {
+			st.Speculative = s.rand.Float64() < k.Copies
+		}
+		if s.rand.Float64() < k.Apart {
+			st.MaxPerTarget = 1 + s.rand.Intn(2)
+		}
+		if i > 0 {
+			st.DependsOn = []int{s.rand.Intn(i)}
+		}
+		st.Image = run.String() // the actual mean, which the planner does not read
+		def.Steps = append(def.Steps, st)
+	}
+	return def
+}
+
+const maxSteps = 4
+
+// work tells what a run of a task does.
+func (s *Simulation) work(task definer.TaskID, number tracker.RunNumber) emulator.Work {
+	c := s.jobs[task.Job]
+	k := &s.Mix[c.kind]
+	st := &c.def.Steps[task.Step]
+	w := emulator.Work{Need: st.Need, Duration: s.duration(c, task), Lasting: st.Lasting, Saves: st.Checkpointing}
+	if st.Gang {
+		w.Gang = st.Count
+	}
+	w.Fails = c.poison || draw(uint64(s.Seed), fmt.Sprintf("%s %d", task, number)) < k.ErrorShare
+	return w
+}
+
+func (s *Simulation) duration(c *client, task definer.TaskID) time.Duration {
+	mean, err := time.ParseDuration(c.def.Steps[task.Step].Image)
+	if err != nil {
+		panic(err) // newJob wrote it
+	}
+	u := draw(uint64(s.Seed), task.String())
+	factor := math.Exp(s.Mix[c.kind].Uneven * normal(u))
+	return time.Duration(float64(mean) * factor)
+}
+
+// normal returns about the value that a normal variable is below in a share u
+// of cases.
+func normal(u float64) float64 {
+	return math.Sqrt2 * math.Erfinv(2*min(max(u, 0.001), 0.999)-1)
+}
+
+// chain returns the longest chain of work of a job.
+func (s *Simulation) chain(c *client) time.Duration {
+	ends := make([]time.Duration, len(c.def.Steps))
+	longest := time.Duration(0)
+	for i := range c.def.Steps {
+		st := &c.def.Steps[i]
+		begin := time.Duration(0)
+		for _, d := range st.DependsOn {
+			begin = max(begin, ends[d])
+		}
+		id := definer.StepID{Job: c.id, Step: i}
+		for n := range st.Count {
+			ends[i] = max(ends[i], begin+s.duration(c, id.Task(n)))
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+const (
+	maxTries  = 6
+	retryTime = 700 * time.Millisecond
+	pollTime  = 100 * time.Millisecond
+)
+
+// submit hands a job in, again and again until there is an answer.
+func (s *Simulation) submit(c *client) {
+	if c.accepted || c.cancelled {
+		return
+	}
+	c.tries++
+	k := &s.Mix[c.kind]
+	sub := &planner.Submission{Host: "h", Path: "/" + k.Name + "/" + c.id.String(), Job: c.def}
+	l := s.leader
+	s.in(s.between(minWay, maxWay), func() {
+		if l != s.leader {
+			return
+		}
+		s.tell(func(p *planner.Planner, now planner.Moment) {
+			p.Submit(sub, func(a planner.Answer) { s.submitted(c, a) }, now)
+		})
+	})
+	s.in(retryTime, func() { s.submit(c) })
+}
+
+func (s *Simulation) submitted(c *client, a planner.Answer) {
+	if a.Verdict != planner.Accepted || c.accepted {
+		return
+	}
+	c.accepted = true
+	s.audit.Accepted(c.id, s.now)
+	s.poll(c)
+}
+
+// poll asks for a job's state until it has ended.
+func (s *Simulation) poll(c *client) {
+	if c.over {
+		return
+	}
+	s.in(pollTime, func() { s.poll(c) })
+	if s.leader == nil {
+		return
+	}
+	k := &s.Mix[c.kind]
+	rec, a := planner.Find(s.committed, "h", "/"+k.Name+"/"+c.id.String())
+	if rec == nil {
+		s.audit.Problems = append(s.audit.Problems, fmt.Sprintf("accepted job %s: %s", c.id, a.Reason))
+		return
+	}
+	switch rec.State {
+	case tracker.Completed:
+		s.audit.Completed(c.id, s.now)
+		s.settle(c, !c.poison)
+	case tracker.Failed:
+		s.settle(c, c.poison)
+	case tracker.Cancelled:
+		c.over = rec.Def == nil // none of its runs is left
+	}
+}
+
+// settle counts how a job was served.
+func (s *Simulation) settle(c *client, right bool) {
+	c.over = true
+	k, r := &s.Mix[c.kind], &s.Result.Kinds[c.kind]
+	took := s.now.Sub(c.sent)
+	r.Waits = append(r.Waits, took-c.objective)
+	switch {
+	case !right || took > 3*c.objective:
+		r.Failed++
+	case took > c.objective:
+		r.Late++
+		r.Credit += lateWorth * k.Worth
+	default:
+		r.InTime++
+		r.Credit += k.Worth
+	}
+}
+
+const lateWorth = 0.2 // of a job that is late, against one in time
+
+// cancel ends a job, again and again until there is an answer.
+func (s *Simulation) cancel(c *client) {
+	if c.over || !c.accepted {
+		if !c.over {
+			s.in(retryTime, func() { s.cancel(c) })
+		}
+		return
+	}
+	c.cancelled = true
+	k := &s.Mix[c.kind]
+	path := "/" + k.Name + "/" + c.id.String()
+	answered := false
+	s.tell(func(p *planner.Planner, now planner.Moment) {
+		p.Cancel("h", path, func(a planner.Answer) {
+			if a.Verdict == planner.Accepted {
+				answered = true
+				s.audit.Cancelled(c.id, s.now)
+			}
+		}, now)
+	})
+	s.in(retryTime, func() {
+		if !answered {
+			s.cancel(c)
+		}
+	})
+}
--- /dev/null
+++ b/internal/load/simulator/faults.go
@@ -0,0 +1,165 @@
+package simulator
+
+import (
+	"time"
+
+	"masticroad/internal/load/emulator"
+	"masticroad/internal/workflow/planner"
+	"masticroad/internal/workflow/tracker"
+)
+
+// This file lets things go wrong.
+
+// Faults tells how often things go wrong. Zero values switch them off.
+type Faults struct {
+	Lost   float64       // share of calls that get lost, one way or the other
+	Late   float64       // share of calls that are carried out seconds late
+	Leader time.Duration // mean time between losses of the leader
+	Freeze time.Duration // mean time between freezes of the leader
+	Crash  time.Duration // mean time between crashes of a target
+	Cut    time.Duration // mean time between cuts of a target
+	Slow   time.Duration // mean time between spells of a slow, failing or hanging target
+	Drain  time.Duration // mean time between departures of a target
+	SameID bool          // a target that crashed comes back under its id
+}
+
+// Rough is a mix of everything.
+var Rough = Faults{
+	Lost: 0.02, Late: 0.02, Leader: 4 * time.Second, Freeze: 5 * time.Second, Crash: 3 * time.Second, Cut: 4 * time.Second,
+	Slow: 4 * time.Second, Drain: 8 * time.Second, SameID: true,
+}
+
+func (s *Simulation) scheduleFaults() {
+	f := &s.Faults
+	s.every(f.Leader, s.loseLeader)
+	s.every(f.Freeze, s.freezeLeader)
+	s.every(f.Crash, func() { s.crash(s.anyHost()) })
+	s.every(f.Cut, func() { s.cutHost(s.anyHost()) })
+	s.every(f.Slow, func() { s.weaken(s.anyHost()) })
+	s.every(f.Drain, func() { s.drain(s.anyHost()) })
+}
+
+// every does something again and again, with random pauses of a mean length.
+func (s *Simulation) every(mean time.Duration, do func()) {
+	if mean == 0 {
+		return
+	}
+	s.in(loadBegin+time.Duration(s.rand.ExpFloat64()*float64(mean)), func() {
+		if s.healed {
+			return
+		}
+		do()
+		s.again(mean, do)
+	})
+}
+
+func (s *Simulation) again(mean time.Duration, do func()) {
+	s.in(time.Duration(s.rand.ExpFloat64()*float64(mean)), func() {
+		if s.healed {
+			return
+		}
+		do()
+		s.again(mean, do)
+	})
+}
+
+func (s *Simulation) anyHost() *host { return s.targets[s.rand.Intn(len(s.targets))] }
+
+// freezeLeader lets the leader's next round come late: what it then sends was
+// decided on old facts, or another leader has begun meanwhile.
+func (s *Simulation) freezeLeader() {
+	if s.leader != nil {
+		s.leader.frozen = s.between(50*time.Millisecond, 2*time.Second)
+		s.faultAt = s.now
+	}
+}
+
+func (s *Simulation) crash(h *host) {
+	if h.target.Down() || h.gone {
+		return
+	}
+	s.faultAt = s.now
+	id := h.target.Record.ID
+	s.trace("%s crashes", id)
+	t := h.target
+	t.Crash(s.now)
+	if !s.Faults.SameID || s.rand.Intn(2) == 0 {
+		id += "'"
+	}
+	s.in(s.between(200*time.Millisecond, 8*time.Second), func() {
+		s.rebear(h, t, id)
+	})
+}
+
+// rebear begins a life at a host whose last target has ended, unless another one
+// did so before.
+func (s *Simulation) rebear(h *host, last *emulator.Target, id tracker.TargetID) {
+	if h.target == last && last.Down() && !h.gone {
+		s.faultAt = s.now
+		s.bear(h, id)
+	}
+}
+
+func (s *Simulation) cutHost(h *host) {
+	s.faultAt = s.now
+	h.cut = true
+	s.trace("%s is cut off", h.target.Record.ID)
+	if s.rand.Intn(4) == 0 {
+		s.crash(h)
+	}
+	s.in(s.between(200*time.Millisecond, 14*time.Second), func() { h.cut = false; s.faultAt = s.now })
+}
+
+func (s *Simulation) weaken(h *host) {
+	if h.target.Down() {
+		return
+	}
+	s.faultAt = s.now
+	t := h.target
+	t.SetFaults([]emulator.Faults{{Slow: 6}, {FailAll: true}, {Hang: true}, {Unwell: true}}[s.rand.Intn(4)], s.now)
+	s.in(s.between(time.Second, 6*time.Second), func() { t.SetFaults(emulator.Faults{}, s.now); s.faultAt = s.now })
+}
+
+// drain lets a target announce that it leaves, then replaces it.
+func (s *Simulation) drain(h *host) {
+	if h.target.Down() || h.draining || h.gone || h.cut {
+		return
+	}
+	s.faultAt = s.now
+	h.draining = true
+	t := h.target
+	h.sequence++
+	t.Record.Draining = true
+	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: 2500 * time.Millisecond}
+	s.tell(func(p *planner.Planner, now planner.Moment) { p.Announce(a, func() {}, now) })
+	s.in(s.between(2500*time.Millisecond, 5*time.Second), func() {
+		if h.target != t || t.Down() {
+			return
+		}
+		s.faultAt = s.now
+		s.tell(func(p *planner.Planner, now planner.Moment) { p.Depart(t.Record.ID, func() {}, now) })
+		s.in(s.between(0, 200*time.Millisecond), func() {
+			if h.target == t && !t.Down() {
+				t.Crash(s.now)
+				s.in(time.Second, func() { s.rebear(h, t, t.Record.ID+"+") })
+			}
+		})
+	})
+}
+
+// heal ends all faults.
+func (s *Simulation) heal() {
+	for _, h := range s.targets {
+		h.cut = false
+		if h.target.Down() {
+			s.bear(h, h.target.Record.ID+tracker.TargetID("~"))
+			continue
+		}
+		h.target.SetFaults(emulator.Faults{}, s.now)
+	}
+	for _, c := range s.sortedJobs() {
+		if s.Mix[c.kind].Lasting {
+			s.cancel(c)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/simulator/hosts.go
@@ -0,0 +1,286 @@
+package simulator
+
+import (
+	"fmt"
+	"time"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/load/emulator"
+	"masticroad/internal/workflow/definer"
+	"masticroad/internal/workflow/planner"
+	"masticroad/internal/workflow/tracker"
+)
+
+// This file holds the targets with the network before them: calls that are
+// lost, late or not answered, and announcements.
+
+// host is a place at which targets live, one after the other.
+type host struct {
+	target   *emulator.Target
+	address  string
+	sequence int64
+	cut      bool // no call reaches it, and no announcement comes
+	draining bool
+	gone     bool // for good
+}
+
+const (
+	poolName      = definer.PoolName("arazo")
+	beatInterval  = 1500 * time.Millisecond
+	minWay        = 500 * time.Microsecond
+	maxWay        = 9 * time.Millisecond // between regions
+	orderTimeout  = 200 * time.Millisecond
+	lookTimeout   = 300 * time.Millisecond
+	lookPoll      = 10 * time.Millisecond // between checks for an end
+	minLate       = 2 * time.Second       // of an order that is carried out late
+	maxLate       = 12 * time.Second
+	racks         = 6
+	clockDrift    = 0.02
+	kindsOfTarget = 4
+)
+
+// sizes are the capacities of targets against the usual one.
+var sizes = [kindsOfTarget]float64{1, 1, 0.5, 2}
+
+func (s *Simulation) addHost() {
+	n := s.hosts
+	s.hosts++
+	h := &host{address: fmt.Sprintf("10.1.0.%d:8080", n+1)}
+	s.targets = append(s.targets, h)
+	s.bear(h, tracker.TargetID(fmt.Sprintf("t%d", n+1)))
+}
+
+// bear begins a life at a host.
+func (s *Simulation) bear(h *host, id tracker.TargetID) {
+	n := int(h.address[len("10.1.0.")]) + len(s.byID)
+	size := sizes[n%kindsOfTarget]
+	t := &emulator.Target{
+		Record: tracker.Target{
+			ID: id, Address: h.address, Zone: "a", Pool: poolName, Rack: fmt.Sprintf("r%d", n%racks),
+			Labels:   []string{fmt.Sprintf("k%d", n%2), fmt.Sprintf("r%d", n%racks)},
+			Capacity: registrar.Need{CPU: registrar.MilliCPU(16000 * size), Memory: registrar.MiB(32768 * size)},
+		},
+		Rate: 1 - clockDrift*s.rand.Float64(), Limits: limits, World: s.world,
+	}
+	t.Begin(tracker.Life(registrar.MillisOf(s.now)), s.now)
+	if old := h.target; old != nil {
+		delete(s.byID, old.Record.ID)
+	}
+	h.target, h.draining, h.sequence = t, false, 0
+	s.trace("%s lives at %s", id, h.address)
+	s.byID[id] = h
+	s.in(s.between(0, 300*time.Millisecond), func() { s.beat(h, t) })
+}
+
+// beat announces a target, again and again while it lives.
+func (s *Simulation) beat(h *host, t *emulator.Target) {
+	if h.target != t || t.Down() || h.gone {
+		return
+	}
+	h.sequence++
+	t.Record.Draining = h.draining
+	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: 2500 * time.Millisecond}
+	delay := s.between(minWay, maxWay)
+	if s.late() {
+		delay = s.between(minLate, maxLate)
+	}
+	if !h.cut {
+		s.in(delay, func() { s.tell(func(p *planner.Planner, now planner.Moment) { p.Announce(a, func() {}, now) }) })
+	}
+	s.in(beatInterval, func() { s.beat(h, t) })
+}
+
+// late reports whether a call is one of those that are carried out late.
+func (s *Simulation) late() bool { return !s.healed && s.rand.Float64() < s.Faults.Late }
+
+// lost reports whether a call or its answer gets lost.
+func (s *Simulation) lost() bool { return !s.healed && s.rand.Float64() < s.Faults.Lost }
+
+func (s *Simulation) carryOut(actions []planner.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Done != nil:
+			a.Done()
+		case a.Start != nil:
+			s.start(a.Start)
+		case a.Stop != nil:
+			s.stop(a.Stop)
+		case a.Look != nil:
+			s.look(a.Look)
+		case a.Ask != nil:
+			s.ask(a.Ask)
+		}
+	}
+}
+
+// deliver carries a call to a target and its answer back. Serve runs at the
+// target; answered or missed follows at the leader.
+func (s *Simulation) deliver(to *planner.Destination, timeout time.Duration, serve func(*host) (answer func())) {
+	l := s.leader
+	missed := func(report func()) { s.in(timeout, report) }
+	h := s.byAddress(to.Address)
+	way := s.between(minWay, maxWay)
+	s.in(way, func() {
+		if h == nil || h.cut || h.target.Down() || s.lost() {
+			missed(func() { s.miss(l, serve) })
+			return
+		}
+		if s.late() {
+			s.faultAt = s.now
+			t, life := h.target, h.target.Record.Life
+			s.in(s.between(minLate, maxLate), func() {
+				if !t.Down() && h.target == t && t.Record.Life == life {
+					serve(h)
+				}
+			})
+			missed(func() { s.miss(l, serve) })
+			return
+		}
+		answer := serve(h)
+		if s.lost() {
+			missed(func() { s.miss(l, serve) })
+			return
+		}
+		s.in(s.between(minWay, maxWay), func() {
+			if l == s.leader {
+				answer()
+			}
+		})
+	})
+}
+
+// miss tells the leader that a call was not answered.
+func (s *Simulation) miss(l *leadership, serve func(*host) func()) {
+	if l == s.leader {
+		serve(nil)()
+	}
+}
+
+func (s *Simulation) byAddress(address string) *host {
+	for _, h := range s.targets {
+		if h.address == address && !h.gone {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *Simulation) start(o *planner.StartOrder) {
+	sent := s.now
+	s.deliver(&o.To, orderTimeout, func(h *host) func() {
+		r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Task: o.Task, Number: o.Number, Sent: sent}
+		if h != nil {
+			r.Answered = true
+			r.Refusal, r.Clock = h.target.Start(o, s.now)
+			s.trace("start of %s run %d token %x at %s (%s): %s", o.Task, o.Number, o.To.Token, h.target.Record.ID, o.To.Target, r.Refusal)
+		}
+		return func() { s.tell(func(p *planner.Planner, now planner.Moment) { p.Ordered(r, now) }) }
+	})
+}
+
+func (s *Simulation) stop(o *planner.StopOrder) {
+	sent := s.now
+	s.deliver(&o.To, orderTimeout, func(h *host) func() {
+		r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Task: o.Task, Number: o.Number, Stop: true, Sent: sent}
+		if h != nil {
+			r.Answered = true
+			r.Refusal, r.Clock = h.target.Stop(o, s.now)
+			s.trace("stop of %s run %d token %x at %s (%s): %s", o.Task, o.Number, o.To.Token, h.target.Record.ID, o.To.Target, r.Refusal)
+		}
+		return func() { s.tell(func(p *planner.Planner, now planner.Moment) { p.Ordered(r, now) }) }
+	})
+}
+
+func (s *Simulation) look(o *planner.LookOrder) {
+	l, sent := s.leader, s.now
+	report := func(r *planner.LookReport) {
+		if l != s.leader {
+			return
+		}
+		r.Target, r.Life, r.Sent, r.Received = o.To.Target, o.To.Life, sent, s.now
+		s.tell(func(p *planner.Planner, now planner.Moment) { p.Looked(r, now) })
+	}
+	miss := func() { s.in(o.Wait+lookTimeout, func() { report(&planner.LookReport{}) }) }
+	s.in(s.between(minWay, maxWay), func() {
+		h := s.byAddress(o.To.Address)
+		if h == nil || h.cut || h.target.Down() || s.lost() {
+			miss()
+			return
+		}
+		if s.late() {
+			t, life := h.target, h.target.Record.Life
+			s.in(s.between(minLate, maxLate), func() {
+				if !t.Down() && h.target == t && t.Record.Life == life {
+					t.Hold(o, s.now)
+				}
+			})
+			miss()
+			return
+		}
+		t := h.target
+		s.trace("look token %x cursor %d at %s (%s)", o.To.Token, o.Cursor, t.Record.ID, o.To.Target)
+		if refusal := t.Hold(o, s.now); refusal != planner.NotRefused {
+			r := &planner.LookReport{Answered: true, Refusal: refusal}
+			s.in(s.between(minWay, maxWay), func() { report(r) })
+			return
+		}
+		s.awaitEnd(h, t, s.now.Add(o.Wait), func(r *planner.LookReport) {
+			if r == nil || h.cut || s.lost() {
+				s.in(lookTimeout, func() { report(&planner.LookReport{}) })
+				return
+			}
+			s.in(s.between(minWay, maxWay), func() { report(r) })
+		})
+	})
+}
+
+// awaitEnd answers a look when something has ended or the wait is over.
+func (s *Simulation) awaitEnd(h *host, t *emulator.Target, until time.Time, done func(*planner.LookReport)) {
+	if h.target != t || t.Down() {
+		done(nil)
+		return
+	}
+	t.Advance(s.now)
+	if t.HasEnds() || !s.now.Before(until) {
+		r := &planner.LookReport{Answered: true}
+		t.List(r, s.now)
+		done(r)
+		return
+	}
+	s.in(min(lookPoll, until.Sub(s.now)), func() { s.awaitEnd(h, t, until, done) })
+}
+
+// ask answers a question for tickets: the service handles one call at a time
+// for each daemon, and admits a target to a step or not, for good.
+func (s *Simulation) ask(o *planner.AskOrder) {
+	q := s.document.Queues[s.jobs[o.Step.Job].kind]
+	begin := s.now
+	if busy := s.advisers[o.Through]; busy.After(begin) {
+		begin = busy
+	}
+	end := begin.Add(q.Licence.Base + time.Duration(len(o.Targets))*q.Licence.Each)
+	s.advisers[o.Through] = end
+	r := &planner.AskReport{ID: o.ID, Answered: true, Admitted: make(map[tracker.TargetID]string)}
+	for _, id := range o.Targets {
+		if s.admits(o.Step, id) {
+			r.Admitted[id] = "ticket"
+		}
+	}
+	l := s.leader
+	s.in(end.Sub(s.now), func() {
+		if l == s.leader {
+			s.tell(func(p *planner.Planner, now planner.Moment) { p.Asked(r, now) })
+		}
+	})
+}
+
+// admits reports whether the licensing service lets a step run on a target. At
+// least one host is admitted, and most are for a gang, so that each step can run.
+func (s *Simulation) admits(step definer.StepID, id tracker.TargetID) bool {
+	c := s.jobs[step.Job]
+	always := int(draw(uint64(s.Seed), step.String()) * float64(len(s.targets)))
+	if s.byID[id] == s.targets[always] || c.def.Steps[step.Step].Gang {
+		return true
+	}
+	return draw(uint64(s.Seed), step.String()+string(id)) < s.Mix[c.kind].Admitted
+}
--- /dev/null
+++ b/internal/load/simulator/simulator_test.go
@@ -0,0 +1,52 @@
+package simulator_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"masticroad/internal/load/simulator"
+)
+
+const (
+	smallCell  = 8 // targets
+	smallShare = float64(smallCell) / 48
+	length     = 14 * time.Second
+)
+
+// play runs one seed and returns what must never happen.
+func play(seed int64, faults simulator.Faults) *simulator.Simulation {
+	s := &simulator.Simulation{Seed: seed, Targets: smallCell, Mix: simulator.Shops(smallShare), Faults: faults, Licensed: seed%2 == 0}
+	s.Run(length)
+	return s
+}
+
+// seeds returns the number of schedules, which MASTICROAD_SCHEDULES raises.
+func seeds(normal int64) int64 {
+	if n, err := strconv.ParseInt(os.Getenv("MASTICROAD_SCHEDULES"), 10, 64); err == nil {
+		return n
+	}
+	return normal
+}
+
+func TestSchedulesOfFaults(t *testing.T) {
+	for seed := range seeds(60) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			quicktest.Assert(t, play(seed, simulator.Rough).Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
+func TestCalmDay(t *testing.T) {
+	c := quicktest.New(t)
+	s := play(2, simulator.Faults{})
+	c.Assert(s.Result.Problems, quicktest.HasLen, 0)
+	for i, k := range s.Result.Kinds {
+		c.Logf("%s: %d jobs, %d in time, %d late, %d failed, credit %.2f of %.2f", s.Mix[i].Name, k.Jobs, k.InTime, k.Late, k.Failed, k.Credit, k.Owed)
+	}
+}
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"masticroad/internal/workflow/definer"
@@ -85,7 +87,6 @@
 	tickets  map[tracker.TargetID]ticket
 	asking   AskID // 0: none
 	askAfter time.Time
-	gangHold time.Time
 	took     []time.Duration // run times of tasks that are done
 	moves    map[int]int     // moves and copies of each task
 	usual    time.Duration   // run time of a task, as far as is known
@@ -193,7 +194,7 @@
 
 // beginOccurrences lets occurrences begin that are due.
 func (p *Planner) beginOccurrences(now Moment) {
-	for id := range p.repeats {
+	for _, id := range slices.Sorted(maps.Keys(p.repeats)) {
 		j := p.jobs[id]
 		if j == nil || j.rec.State.Ended() || j.rec.Begun >= j.rec.Def.Occurrences() {
 			delete(p.repeats, id)
@@ -300,7 +301,7 @@
 
 func (p *Planner) stopJob(j *job, reason string, now Moment) {
 	p.closeJob(j)
-	for _, r := range j.runs {
+	for _, r := range sortedRuns(j.runs) {
 		p.stop(r, reason, now)
 	}
 }
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -39,6 +39,7 @@
 	sentAt     time.Time // of the newest order to start
 	startedAt  time.Time // when the target was first known to have it
 	retryAt    time.Time // of an order without an answer
+	listed     bool      // the target has listed it as running
 	stopping   bool
 	stopReason string
 	stopSentAt time.Time
@@ -47,22 +48,19 @@
 	percent    int
 	gauge      int
 	gaugeAt    time.Time
-	overSince  time.Time // its tail has been over its bound since then
 	pace       int       // percent that was ordered; 100 at first
-	paceAt     time.Time
 	atWork     bool      // a task that lasts has come up
 	movedAt    time.Time // when its progress changed last
 	resumed    bool      // it began at a checkpoint
 }
 
-// unanswered reports whether an order to start may yet be carried out.
-func (r *run) unanswered() bool {
-	return r.state == runOrdered || r.state == runDoubtful || r.state == runInherited
-}
+func (t *target) sortedRuns() []*run { return sortedRuns(t.runs) }
 
-func (t *target) sortedRuns() []*run {
-	out := make([]*run, 0, len(t.runs))
-	for _, r := range t.runs {
+// sortedRuns returns runs in the order of their tasks, so that equal inputs
+// give equal decisions.
+func sortedRuns(runs map[runKey]*run) []*run {
+	out := make([]*run, 0, len(runs))
+	for _, r := range runs {
 		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b *run) int { return compareKeys(a.key, b.key) })
@@ -136,6 +134,15 @@
 		p.unansweredOrder(t, r, o, now)
 		return
 	}
+	if p.isReborn(t, o.Clock) {
+		p.note("target's clock went back", "target", t.rec.ID, "clock", int64(o.Clock), "before", int64(t.clock))
+		t.answers, t.fenced = false, false
+		t.lookDue = now.Steady
+		if r != nil && !o.Stop {
+			r.state = runDoubtful
+		}
+		return
+	}
 	if o.Refusal != RefusedLife {
 		p.answered(t, o.Clock, now.Steady)
 	}
@@ -149,6 +156,15 @@
 	p.takeStartAnswer(r, o, now)
 }
 
+// isReborn reports whether the clock of an answer shows that it came from a new
+// life, whose clock began anew. Answers may overtake each other, but none is
+// older than the time limit of an order.
+func (p *Planner) isReborn(t *target, clock ClockMillis) bool {
+	return clock > 0 && t.hasClock && t.clock-clock > ClockMillis(rebornStep.Milliseconds())
+}
+
+const rebornStep = time.Second // more than the time limit of an order
+
 func (p *Planner) unansweredOrder(t *target, r *run, o *OrderReport, now Moment) {
 	p.missed(t, now)
 	if r == nil || r.stopping && !o.Stop {
@@ -239,6 +255,7 @@
 
 // takeRunning compares what a target has with what it was ordered.
 func (p *Planner) takeRunning(t *target, report *LookReport, now Moment) {
+	p.dropStrays(t)
 	listed := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
 		x := &report.Running[i]
@@ -250,6 +267,7 @@
 			continue
 		}
 		p.started(r, now)
+		r.listed = true
 		p.takeProgress(r, x, report, now)
 	}
 	for _, r := range t.sortedRuns() {
@@ -260,8 +278,26 @@
 	p.relievePressure(t, report, now)
 }
 
-// stopStray stops a run that the tables don't have on this target.
+// dropStrays frees the room of strays, which the present report lists anew.
+func (p *Planner) dropStrays(t *target) {
+	for _, need := range t.strays {
+		t.used = t.used.Minus(need)
+	}
+	t.strays = nil
+}
+
+// stopStray stops a run that the tables don't have on this target. It takes
+// room until it is gone.
 func (p *Planner) stopStray(t *target, key runKey, now Moment) {
+	need := t.rec.Capacity
+	if def, _ := p.State.TaskOf(key.task); def != nil {
+		need = def.Charge()
+	}
+	if t.strays == nil {
+		t.strays = make(map[runKey]registrar.Need)
+	}
+	t.strays[key] = need
+	t.used = t.used.Plus(need)
 	p.note("stray run", "task", key.task.String(), "run", int(key.number), "target", t.rec.ID)
 	p.after(Action{Stop: &StopOrder{To: p.destination(t), Task: key.task, Number: key.number}})
 }
@@ -302,10 +338,15 @@
 	}
 }
 
-// checkRuns repeats orders without an answer.
+// checkRuns repeats orders without an answer. Starts wait until a look has shown
+// that the target still lives the life that they are meant for: a new one may
+// have less room.
 func (p *Planner) checkRuns(t *target, now Moment) {
-	for _, r := range t.runs {
-		if r.state == runDoubtful && !r.stopping && !now.Steady.Before(r.retryAt) {
+	if !t.hasUnsettled() {
+		return
+	}
+	for _, r := range t.sortedRuns() {
+		if r.state == runDoubtful && !r.stopping && t.answers && t.fenced && !now.Steady.Before(r.retryAt) {
 			p.repeatStart(r, now)
 		}
 		if r.stopping && now.Steady.Sub(r.stopSentAt) > p.Settings.StopTime+stopMargin {
@@ -314,6 +355,16 @@
 	}
 }
 
+// hasUnsettled reports whether an order may have to be repeated.
+func (t *target) hasUnsettled() bool {
+	for _, r := range t.runs {
+		if r.state == runDoubtful || r.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 const (
 	orderTime  = 500 * time.Millisecond // an order is answered within it or counts as not answered
 	stopMargin = 400 * time.Millisecond // over StopTime, until a stop is repeated
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -21,6 +21,8 @@
 	rec  *tracker.Target
 	used registrar.Need
 	runs map[runKey]*run
+	// strays are runs that it lists and the tables don't have.
+	strays map[runKey]registrar.Need
 
 	epoch    int  // of the token; raised when older orders must have no effect
 	fenced   bool // it has answered a look with the present token
@@ -220,9 +222,10 @@
 	p.emit(tracker.Event{TargetGone: &tracker.TargetGone{Target: t.rec.ID}}, now)
 }
 
-// outlive takes back what a target ran in an earlier life. Orders that were not
-// answered may yet be carried out by the new life, which has the same id, until
-// it has seen a higher token.
+// outlive takes back what a target ran in an earlier life. What that life has
+// listed is lost. Other orders may have been carried out by the new life, which
+// has the same id, or may be yet, until it has seen a higher token; the first
+// look tells.
 func (p *Planner) outlive(t *target, life tracker.Life, now Moment) {
 	p.note("target began a new life", "target", t.rec.ID, "life", int64(life), "before", int64(t.rec.Life), "runs", len(t.runs))
 	t.epoch++
@@ -230,9 +233,10 @@
 	t.seen, t.sequence, t.failures = 0, 0, 0
 	t.departed, t.drainEnd, t.pauseTill = time.Time{}, time.Time{}, time.Time{}
 	t.lookDue = now.Steady
+	t.looking = false // the answer to a look at the earlier life is passed over
 	t.health = health{}
 	for _, r := range t.sortedRuns() {
-		if r.unanswered() && now.Steady.Sub(r.sentAt) < p.Limits.LateWindow {
+		if !r.listed && now.Steady.Sub(r.sentAt) < p.Limits.LateWindow {
 			r.state = runInherited
 			continue
 		}
@@ -309,6 +313,9 @@
 	}
 	if t.failures == 0 {
 		order.Deadline = p.extend(t, p.Limits.Lease, now)
+	} else {
+		// It may live another life, whose ends have numbers of their own.
+		order.Cursor = 0
 	}
 	p.after(Action{Look: order})
 }
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -55,7 +56,7 @@
 // RemoveAdviser is called when a daemon can't be reached any more.
 func (p *Planner) RemoveAdviser(id AdviserID, now Moment) {
 	delete(p.advisers, id)
-	for _, a := range p.asks {
+	for _, a := range p.sortedAsks() {
 		if a.through.id == id {
 			p.failAsk(a, now)
 		}
@@ -180,6 +181,14 @@
 	p.dirty = true
 }
 
+func (p *Planner) sortedAsks() []*ask {
+	out := make([]*ask, 0, len(p.asks))
+	for _, id := range slices.Sorted(maps.Keys(p.asks)) {
+		out = append(out, p.asks[id])
+	}
+	return out
+}
+
 func (p *Planner) endAsk(a *ask) {
 	delete(p.asks, a.id)
 	a.through.calls--
@@ -203,7 +212,7 @@
 
 // checkAsks lets steps ask through other daemons when an answer is overdue.
 func (p *Planner) checkAsks(now Moment) {
-	for _, a := range p.asks {
+	for _, a := range p.sortedAsks() {
 		switch {
 		case now.Steady.Sub(a.deadline) > askForget:
 			p.endAsk(a)
