Pass over answers to orders of an earlier leadership; await late orders in a new life

Reports of looks and orders did not tell which leadership had ordered them, so that a replica that led again took an answer to its earlier token as the fence of the new one, and ended inherited runs whose orders could still arrive. The second: a run that a target had listed was given up at once at its new life, though an earlier order for it, without an answer, could be carried out there. Change: reports carry the token, answers to another token are passed over; such runs wait for the first look at the new life.

--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -89,7 +89,7 @@
 func (d *Dispatcher) start(o *planner.StartOrder) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Order)
 	defer cancel()
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Task: o.Task, Number: o.Number, Sent: d.Now()}
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Sent: d.Now()}
 	answer, err := d.Platform.Start(ctx, o)
 	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
 	d.Report(r)
@@ -98,7 +98,7 @@
 func (d *Dispatcher) stop(o *planner.StopOrder) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Order)
 	defer cancel()
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Task: o.Task, Number: o.Number, Stop: true, Sent: d.Now()}
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true, Sent: d.Now()}
 	answer, err := d.Platform.Stop(ctx, o)
 	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
 	d.Report(r)
@@ -114,7 +114,7 @@
 func (d *Dispatcher) look(o *planner.LookOrder) {
 	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+d.Limits.Look)
 	defer cancel()
-	r := &planner.LookReport{Target: o.To.Target, Life: o.To.Life, Sent: d.Now()}
+	r := &planner.LookReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Sent: d.Now()}
 	err := d.Platform.Look(ctx, o, r)
 	r.Answered = err == nil
 	r.Received = d.Now()
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -99,6 +99,7 @@
 type OrderReport struct {
 	Target   tracker.TargetID
 	Life     tracker.Life
+	Token    Token // that the order carried
 	Task     definer.TaskID
 	Number   tracker.RunNumber
 	Stop     bool
@@ -112,6 +113,7 @@
 type LookReport struct {
 	Target   tracker.TargetID
 	Life     tracker.Life // that the look was sent to
+	Token    Token        // that the look carried
 	Sent     time.Time
 	Received time.Time
 	Answered bool
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -40,6 +40,7 @@
 	startedAt  time.Time // when the target was first known to have it
 	retryAt    time.Time // of an order without an answer
 	listed     bool      // the target has listed it as running
+	missedAt   time.Time // when an order to start it got no answer last
 	stopping   bool
 	stopReason string
 	stopSentAt time.Time
@@ -54,6 +55,15 @@
 	resumed    bool      // it began at a checkpoint
 }
 
+// maybeInNewLife reports whether a new life of the run's target may have carried
+// out an order to start it, or may do so yet.
+func (r *run) maybeInNewLife(window time.Duration, now Moment) bool {
+	if r.listed {
+		return !r.missedAt.IsZero() && now.Steady.Sub(r.missedAt) < window
+	}
+	return now.Steady.Sub(r.sentAt) < window
+}
+
 func (t *target) sortedRuns() []*run { return sortedRuns(t.runs) }
 
 // sortedRuns returns runs in the order of their tasks, so that equal inputs
@@ -126,7 +136,7 @@
 // Ordered takes in what became of an order to start or to stop.
 func (p *Planner) Ordered(o *OrderReport, now Moment) {
 	t := p.targets[o.Target]
-	if t == nil || t.rec.Life != o.Life {
+	if t == nil || t.rec.Life != o.Life || o.Token != p.token(t) {
 		return
 	}
 	r := t.runs[runKey{o.Task, o.Number}]
@@ -179,6 +189,7 @@
 	if r.state == runOrdered {
 		r.state = runDoubtful
 	}
+	r.missedAt = now.Steady
 	r.retryAt = now.Steady.Add(p.Limits.OrderRetry)
 	if t.answers {
 		p.repeatStart(r, now)
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -236,8 +236,8 @@
 	t.looking = false // the answer to a look at the earlier life is passed over
 	t.health = health{}
 	for _, r := range t.sortedRuns() {
-		if !r.listed && now.Steady.Sub(r.sentAt) < p.Limits.LateWindow {
-			r.state = runInherited
+		if r.maybeInNewLife(p.Limits.LateWindow, now) {
+			r.state, r.listed = runInherited, false
 			continue
 		}
 		p.endRun(r, tracker.EndLost, r.checkpoint, "target began a new life", now)
@@ -344,8 +344,10 @@
 // Looked takes in what a target runs and what has ended there.
 func (p *Planner) Looked(r *LookReport, now Moment) {
 	t := p.targets[r.Target]
-	if t == nil || t.rec.Life != r.Life {
-		return // the target is gone, or has a new life that is looked at by itself
+	if t == nil || t.rec.Life != r.Life || r.Token != p.token(t) {
+		// The target is gone, or has a new life that is looked at by itself, or the
+		// look was ordered by an earlier leadership of this replica.
+		return
 	}
 	t.looking = false
 	if !r.Answered {
