--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -91,6 +91,8 @@
 	order  *planner.OrderReport
 	look   *planner.LookReport
 	ask    *planner.AskReport
+	vm     *planner.VMReport
+	list   *planner.ListReport
 	attach *stream
 	detach *stream
 	query  func(*tracker.State)
@@ -356,6 +358,10 @@
 		c.Planner.Looked(in.look, now)
 	case in.ask != nil:
 		c.Planner.Asked(in.ask, now)
+	case in.vm != nil:
+		c.Planner.VMOrdered(in.vm, now)
+	case in.list != nil:
+		c.Planner.Listed(in.list, now)
 	case in.attach != nil && in.attach.watches:
 		c.attachWatch(in.attach)
 	case in.attach != nil:
@@ -409,6 +415,10 @@
 		c.push(input{look: r})
 	case *planner.AskReport:
 		c.push(input{ask: r})
+	case *planner.VMReport:
+		c.push(input{vm: r})
+	case *planner.ListReport:
+		c.push(input{list: r})
 	}
 }
 
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/planner"
 	"masticroad/internal/workflow/tracker"
@@ -30,6 +32,10 @@
 	// Look fills in what the target answered.
 	Look(ctx context.Context, o *planner.LookOrder, r *planner.LookReport) error
 	Ask(ctx context.Context, step definer.StepID, targets []tracker.TargetID) (admitted map[tracker.TargetID]string, busy bool, err error)
+	// ServiceVM takes a VM down for its upkeep; MoveVM moves it to a pool.
+	ServiceVM(ctx context.Context, o *planner.VMOrder) (planner.VMRefusal, error)
+	MoveVM(ctx context.Context, o *planner.VMOrder) (planner.VMRefusal, error)
+	ListVMs(ctx context.Context) ([]planner.VM, error)
 }
 
 // Limits bound calls. Zero values take the defaults.
@@ -37,18 +43,21 @@
 	Order time.Duration // an order without an answer counts as not answered
 	Look  time.Duration // the same for a look, over the time that it waits
 	Ask   time.Duration
+	VM    time.Duration // an order about a VM, or a list of them
 }
 
 const (
 	defaultOrder = 200 * time.Millisecond // ten round trips between regions; orders may be repeated
 	defaultLook  = 300 * time.Millisecond
-	defaultAsk   = 12 * time.Second // the service may have many calls before this one
+	defaultAsk   = 12 * time.Second        // the service may have many calls before this one
+	defaultVM    = 1500 * time.Millisecond // less than the pause after which the planner repeats it
 )
 
 // Dispatcher makes each call on a goroutine of its own. The exported fields are
 // set before Open.
 type Dispatcher struct {
 	Platform Platform
+	Log      hclog.Logger
 	Now      func() time.Time
 	Report   func(report any)
 	Limits   Limits
@@ -68,6 +77,9 @@
 	if d.Limits.Ask == 0 {
 		d.Limits.Ask = defaultAsk
 	}
+	if d.Limits.VM == 0 {
+		d.Limits.VM = defaultVM
+	}
 }
 
 // Do carries out an order. It does not block.
@@ -81,6 +93,10 @@
 		go d.pace(a.Pace)
 	case a.Look != nil:
 		go d.look(a.Look)
+	case a.VM != nil:
+		go d.orderVM(a.VM)
+	case a.List != nil:
+		go d.list(a.List)
 	case a.Ask != nil:
 		go func() { d.Report(d.Ask(a.Ask)) }()
 	}
@@ -121,6 +137,30 @@
 	d.Report(r)
 }
 
+func (d *Dispatcher) orderVM(o *planner.VMOrder) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
+	defer cancel()
+	order := d.Platform.ServiceVM
+	if o.Pool != "" {
+		order = d.Platform.MoveVM
+	}
+	refusal, err := order(ctx, o)
+	if err != nil {
+		d.Log.Warn("order about a vm has no answer", "vm", string(o.VM), "wave", int64(o.Wave), "error", err)
+	}
+	d.Report(&planner.VMReport{Order: *o, Answered: err == nil, Refusal: refusal})
+}
+
+func (d *Dispatcher) list(o *planner.ListOrder) {
+	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
+	defer cancel()
+	vms, err := d.Platform.ListVMs(ctx)
+	if err != nil {
+		d.Log.Warn("vms can't be listed", "error", err)
+	}
+	d.Report(&planner.ListReport{Token: o.Token, Answered: err == nil, VMs: vms})
+}
+
 // Ask calls the licensing service and waits for its answer.
 func (d *Dispatcher) Ask(o *planner.AskOrder) *planner.AskReport {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Ask)
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -75,7 +75,7 @@
 // Open makes the parts.
 func (s *Supervisor) Open(ctx context.Context) error {
 	s.client = &replica.Client{Named: true, Traffic: &replica.Traffic{}}
-	s.disp = &dispatcher.Dispatcher{Platform: s.Platform, Now: s.clock.Steady}
+	s.disp = &dispatcher.Dispatcher{Platform: s.Platform, Now: s.clock.Steady, Log: s.Log.Named("dispatcher")}
 	s.done = make(chan struct{})
 	s.Relayer = &relayer.Relayer{
 		Name: s.Settings.Name, Dial: func(a string) (*grpc.ClientConn, error) { return s.client.Dial(a) }, Seeds: s.Seeds,
@@ -112,7 +112,7 @@
 	s.node.Open()
 	s.coord = &coordinator.Coordinator{
 		Node: s.node, Clock: s.clock, Log: s.Log.Named("coordinator"), Dispatcher: s.disp, Name: planner.AdviserID(s.Settings.Name),
-		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region}},
+		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name}},
 		MaxBytes: snapshotBytes, Follow: s.Relayer.Learn,
 	}
 	s.coord.Open(ctx)
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/tracker"
 )
@@ -16,6 +17,8 @@
 	Pace  *PaceOrder
 	Look  *LookOrder
 	Ask   *AskOrder
+	VM    *VMOrder
+	List  *ListOrder
 	Done  func() // answers a caller
 }
 
@@ -163,3 +166,75 @@
 	Busy     bool // the service has too many calls waiting
 	Admitted map[tracker.TargetID]string
 }
+
+// VMState tells what a VM does, as the service that keeps VMs sees it.
+type VMState uint8
+
+// The states of a VM. Zero stands for a state that is not known.
+const (
+	VMUp        VMState = iota + 1
+	VMMoving            // to another pool
+	VMServicing         // down for its upkeep
+	VMDown              // switched off
+)
+
+// VM is a VM on which targets live, one after the other.
+type VM struct {
+	ID       tracker.VMID
+	Pool     definer.PoolName
+	State    VMState
+	Zone     registrar.ZoneName
+	Target   tracker.TargetID // that lives on it; empty: none
+	Capacity registrar.Need
+}
+
+// VMOrder takes a VM down for its upkeep, or moves it to a pool when Pool is
+// set. All that runs on it ends at once.
+type VMOrder struct {
+	VM     tracker.VMID
+	Wave   tracker.WaveID
+	Pool   definer.PoolName
+	Holder string // name of the leader
+	Token  Token
+}
+
+// VMRefusal tells why an order about a VM was not carried out.
+type VMRefusal uint8
+
+// The refusals of orders about VMs.
+const (
+	VMNotRefused     VMRefusal = iota
+	VMRefusedToken             // another leader has used a higher token
+	VMRefusedBusy              // the VM is not up, or leaves
+	VMRefusedWave              // the VM does not belong to the wave
+	VMRefusedUnknown           // there is no such VM, or it can't join the pool
+	VMRefusedRate              // too many calls
+)
+
+var vmRefusalNames = []string{"", "Token", "Busy", "Wave", "Unknown", "Rate"}
+
+// String returns the name of r.
+func (r VMRefusal) String() string {
+	if int(r) < len(vmRefusalNames) {
+		return vmRefusalNames[r]
+	}
+	return "Unknown"
+}
+
+// VMReport tells what became of an order about a VM. An order without an answer
+// may have been carried out, or may be yet.
+type VMReport struct {
+	Order    VMOrder
+	Answered bool
+	Refusal  VMRefusal
+}
+
+// ListOrder asks for all VMs.
+type ListOrder struct{ Token Token }
+
+// ListReport is the list of all VMs.
+type ListReport struct {
+	Token    Token
+	Answered bool
+	VMs      []VM
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"masticroad/internal/control/registrar"
 	"masticroad/internal/workflow/definer"
@@ -185,7 +184,7 @@
 	if s.def.Rack != "" && t.rec.Rack != s.def.Rack {
 		score += remotePenalty
 	}
-	return score + t.health.penalty(now.Steady)
+	return score + t.health.penalty(now.Steady) + p.disturbance(s, t, now)
 }
 
 const remotePenalty = 2.0 // larger than any difference in room, which is at most 1
@@ -240,37 +239,3 @@
 func (p *Planner) admit(_ *definer.Queue, _ *definer.Job, _ Moment) (Answer, bool) {
 	return Answer{Verdict: Accepted}, true
 }
-
-// relieve moves tasks off a target that is about to leave.
-func (p *Planner) relieve(t *target, now Moment) {
-	if !t.rec.Draining {
-		return
-	}
-	for _, r := range t.sortedRuns() {
-		if r.def.Lasting {
-			p.stop(r, "target drains", now)
-		}
-	}
-}
-
-// relievePressure throttles tasks that fill beside a task that serves badly.
-func (p *Planner) relievePressure(t *target, _ *LookReport, now Moment) {
-	for _, r := range t.runs {
-		if r.def.Fills || r.def.TailTarget == 0 {
-			continue
-		}
-		if time.Duration(r.gauge)*time.Millisecond > r.def.TailTarget*8/10 {
-			p.throttle(t, 0, now)
-			return
-		}
-	}
-}
-
-func (p *Planner) throttle(t *target, percent int, now Moment) {
-	for _, r := range t.sortedRuns() {
-		if r.def.Fills && r.pace != percent && r.state == runStarted {
-			r.pace = percent
-			p.after(Action{Pace: &PaceOrder{To: p.destination(t), Task: r.key.task, Number: r.key.number, Percent: percent}})
-		}
-	}
-}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -39,12 +39,14 @@
 	PaceDelay   time.Duration // from an order to throttle to its effect
 	TailTime    time.Duration // a tail may be over its bound this long
 	NoticeTime  time.Duration // a task counts as away this long after it went missing
+	UpkeepTime  time.Duration // a VM is down this long for its upkeep
 }
 
 // Settings bound what the planner does. Zero values take the defaults.
 type Settings struct {
 	Bounds
 	Region registrar.RegionName
+	Holder string // names this leader to the service that keeps VMs
 }
 
 // Planner makes the decisions of one leader. The exported fields are set before
@@ -65,6 +67,8 @@
 	asks     map[AskID]*ask
 	nextAsk  AskID
 	biases   map[definer.QueueName]*bias
+	upkeep   upkeep
+	clashes  map[imagePair]time.Time
 	dirty    bool // something changed that placement depends on
 	order    []*step
 	sweepAt  time.Time
@@ -110,6 +114,8 @@
 	p.advisers = make(map[AdviserID]*adviser)
 	p.asks = make(map[AskID]*ask)
 	p.biases = make(map[definer.QueueName]*bias)
+	p.upkeep = newUpkeep()
+	p.clashes = make(map[imagePair]time.Time)
 	p.order = nil
 	p.round = Round{}
 	p.Counters = Counters{}
@@ -172,6 +178,7 @@
 	if now.Steady.Sub(p.progressAt) >= progressInterval {
 		p.progressAt = now.Steady
 		p.checkProgress(now)
+		p.checkWaves(now)
 	}
 	p.forget(now)
 	p.dirty = true
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -237,7 +237,9 @@
 	s.pass(50 * time.Millisecond)
 }
 
-func cpus(n int) registrar.Need { return registrar.Need{CPU: registrar.MilliCPU(n * 1000), Memory: 1024} }
+func cpus(n int) registrar.Need {
+	return registrar.Need{CPU: registrar.MilliCPU(n * 1000), Memory: 1024}
+}
 
 func oneTask(need registrar.Need) definer.Step {
 	return definer.Step{Count: 1, Need: need, Estimate: time.Second}
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -49,7 +49,7 @@
 	percent    int
 	gauge      int
 	gaugeAt    time.Time
-	pace       int       // percent that was ordered; 100 at first
+	ownStart   bool      // this leader decided it
 	atWork     bool      // a task that lasts has come up
 	movedAt    time.Time // when its progress changed last
 	resumed    bool      // it began at a checkpoint
@@ -84,7 +84,7 @@
 
 // addRun charges a target with a run of the tables.
 func (p *Planner) addRun(j *job, def *definer.Step, key runKey, t *target, state runState, now Moment) *run {
-	r := &run{key: key, def: def, job: j, target: t, charge: def.Charge(), state: state, pace: fullPace, orderedAt: now.Steady, sentAt: now.Steady}
+	r := &run{key: key, def: def, job: j, target: t, charge: def.Charge(), state: state, ownStart: state == runOrdered, orderedAt: now.Steady, sentAt: now.Steady}
 	t.runs[key] = r
 	t.used = t.used.Plus(r.charge)
 	j.runs[key] = r
@@ -286,7 +286,7 @@
 			p.takeAbsence(r, report, now)
 		}
 	}
-	p.relievePressure(t, report, now)
+	p.share(t, now)
 }
 
 // dropStrays frees the room of strays, which the present report lists anew.
@@ -386,6 +386,7 @@
 	t, j := r.target, r.job
 	delete(t.runs, r.key)
 	delete(j.runs, r.key)
+	t.forgetPace(r.key)
 	t.used = t.used.Minus(r.charge)
 	p.dirty = true
 	p.judge(r, how, now)
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -43,6 +43,8 @@
 	departed  time.Time // it said that it ends; zero: it did not
 	pauseTill time.Time // it gets no new work; it was not well
 	health    health
+	cordoned  bool // its VM is about to be taken down
+	sharing   sharing
 }
 
 // pool is the set of targets that run the tasks of some queues.
@@ -111,9 +113,10 @@
 	if old != nil && a.Target.Life < old.rec.Life {
 		return
 	}
-	if p.isOutlived(a) {
+	if p.isOutlived(a) || p.isTakenDown(&a.Target) {
 		return
 	}
+	p.noteReturn(&a.Target, now)
 	if old != nil && a.Target.Life == old.rec.Life && a.Sequence <= old.sequence {
 		return
 	}
@@ -175,7 +178,7 @@
 
 func sameRecord(a, b *tracker.Target) bool {
 	return a.Life == b.Life && a.Address == b.Address && a.Zone == b.Zone && a.Pool == b.Pool && a.Release == b.Release &&
-		a.Rack == b.Rack && a.Capacity == b.Capacity && a.Slots == b.Slots && a.Draining == b.Draining &&
+		a.Rack == b.Rack && a.VM == b.VM && a.Capacity == b.Capacity && a.Slots == b.Slots && a.Draining == b.Draining &&
 		slices.Equal(a.Labels, b.Labels)
 }
 
@@ -234,7 +237,7 @@
 	t.departed, t.drainEnd, t.pauseTill = time.Time{}, time.Time{}, time.Time{}
 	t.lookDue = now.Steady
 	t.looking = false // the answer to a look at the earlier life is passed over
-	t.health = health{}
+	t.health, t.sharing, t.cordoned = health{}, sharing{}, false
 	for _, r := range t.sortedRuns() {
 		if r.maybeInNewLife(p.Limits.LateWindow, now) {
 			r.state, r.listed = runInherited, false
@@ -300,7 +303,7 @@
 
 // open reports whether a target may be given new work.
 func (t *target) open(now Moment) bool {
-	return t.fenced && t.answers && t.hasClock && !t.rec.Draining && t.departed.IsZero() &&
+	return t.fenced && t.answers && t.hasClock && !t.rec.Draining && !t.cordoned && t.departed.IsZero() &&
 		!now.Steady.Before(t.pauseTill)
 }
 
@@ -428,6 +431,7 @@
 			p.look(t, now)
 		}
 		p.checkRuns(t, now)
+		p.relieve(t, now)
 		if !t.departed.IsZero() && now.Steady.Sub(t.departed) > departTime {
 			p.loseRuns(t, "target departed", now)
 		}
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -58,6 +58,10 @@
 		s.putWave(ev.WavePut, at)
 	case ev.VMServiced != nil:
 		s.serviceVM(ev.VMServiced)
+	case ev.VMTaken != nil:
+		s.takeVM(ev.VMTaken, at)
+	case ev.VMBack != nil:
+		s.returnVM(ev.VMBack)
 	}
 }
 
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -33,6 +33,8 @@
 	JobsForgotten   *JobsForgotten   `cbor:"9,keyasint,omitempty"`
 	WavePut         *WavePut         `cbor:"10,keyasint,omitempty"`
 	VMServiced      *VMServiced      `cbor:"11,keyasint,omitempty"`
+	VMTaken         *VMTaken         `cbor:"12,keyasint,omitempty"`
+	VMBack          *VMBack          `cbor:"13,keyasint,omitempty"`
 }
 
 // DocumentPut puts a document in force.
--- a/internal/workflow/tracker/snapshot.go
+++ b/internal/workflow/tracker/snapshot.go
@@ -73,6 +73,12 @@
 		fresh.Targets[t.ID] = t
 	}
 	for _, w := range snap.Waves {
+		if w.Left == nil {
+			w.Left = make(map[VMID]bool)
+		}
+		if w.Down == nil {
+			w.Down = make(map[VMID]Taken)
+		}
 		fresh.Waves[w.ID] = w
 	}
 	for _, id := range snap.Finished {
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -133,6 +133,7 @@
 	Slots    int                  `cbor:"10,keyasint,omitempty"`
 	Draining bool                 `cbor:"11,keyasint,omitempty"` // it will leave and takes no new work
 	Region   registrar.RegionName `cbor:"12,keyasint,omitempty"`
+	VM       VMID                 `cbor:"13,keyasint,omitempty"` // that it lives on
 }
 
 // HasLabel reports whether the target has a label.
