--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/metrics/meter"
 	"masticroad/internal/peer/leader"
 	"masticroad/internal/state/replicator"
 	"masticroad/internal/workflow/planner"
@@ -30,6 +31,7 @@
 	maxGather    = 4096
 	maxInflight  = 16                     // rounds on their way to a majority
 	idleInterval = time.Second            // of the loop of a replica that does not lead
+	loadInterval = time.Second            // between counts of what is before the leader
 	noteLimit    = 1500                   // log lines a second
 	roundDelay   = 5 * time.Millisecond   // least time between rounds: half a synced write
 	leaseRetry   = 100 * time.Millisecond // until a read is tried again without a lease
@@ -53,6 +55,7 @@
 	Dispatcher Dispatcher
 	Planner    *planner.Planner
 	Name       planner.AdviserID // of this daemon
+	Meter      *meter.Meter      // nil: nothing is counted
 	// MaxBytes of the log are kept before a snapshot is taken.
 	MaxBytes int
 	// Follow is told the address of the leader, or an empty text, and its term.
@@ -74,7 +77,8 @@
 	tail     int // bytes of the log since the last snapshot
 	streams  map[planner.AdviserID]*stream
 	watchers map[*stream]bool
-	noted    int // log lines of the present second
+	loadAt   time.Time // when the meter was told the load last
+	noted    int       // log lines of the present second
 	notedAt  time.Time
 	dropped  int
 	Totals   Totals
@@ -174,6 +178,7 @@
 		c.Log.Info("replica changed", "role", u.Status.Role.String(), "term", u.Status.Term, "leader", string(u.Status.Leader), "voters", u.Status.Voters)
 	}
 	c.status = u.Status
+	c.Meter.SetVoters(len(u.Status.Voters))
 	if changed {
 		c.tellWatchers()
 	}
@@ -222,6 +227,7 @@
 	}
 	c.Log.Info("leadership lost", "term", c.term, "rounds", len(c.inflight))
 	c.leading.Store(false)
+	c.Meter.Leading(false)
 	c.ended = c.term
 	if c.status.Role == replicator.Leader && c.status.Term == c.term {
 		// Orders of this term may be under way, so another term has to begin.
@@ -270,6 +276,7 @@
 	}
 	c.term = c.status.Term
 	c.leading.Store(true)
+	c.Meter.Leading(true)
 	c.Planner.State = c.state.Clone()
 	now := c.Clock.Now()
 	c.Planner.Begin(c.term, now)
@@ -305,6 +312,7 @@
 	}
 	c.Planner.Plan(now)
 	round := c.Planner.Take()
+	c.measure(&round, now)
 	c.Totals.Rounds.Add(1)
 	c.Totals.Inputs.Add(int64(len(inputs)))
 	c.logNotes(round.Notes, now)
@@ -325,6 +333,26 @@
 	c.Node.Propose(c.ctx, c.term, data)
 }
 
+// measure counts what a round has decided.
+func (c *Coordinator) measure(round *planner.Round, now planner.Moment) {
+	if c.Meter == nil {
+		return
+	}
+	c.Meter.Round(c.Clock.Now().Steady.Sub(now.Steady))
+	for i := range round.Jobs {
+		c.Meter.Job(&round.Jobs[i])
+	}
+	for i := range round.Events {
+		if e := round.Events[i].RunEnded; e != nil {
+			c.Meter.Run(e.How)
+		}
+	}
+	if now.Steady.Sub(c.loadAt) >= loadInterval {
+		c.loadAt = now.Steady
+		c.Meter.SetLoad(c.Planner.Load(now))
+	}
+}
+
 // afterInflight carries out the orders of a round without events once the
 // rounds before it are committed, since they may rest on those.
 func (c *Coordinator) afterInflight(round planner.Round) {
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"masticroad/internal/metrics/meter"
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/planner"
 	"masticroad/internal/workflow/tracker"
@@ -61,6 +62,7 @@
 	Now      func() time.Time
 	Report   func(report any)
 	Limits   Limits
+	Meter    *meter.Meter // nil: nothing is counted
 
 	ctx context.Context
 }
@@ -103,28 +105,44 @@
 }
 
 func (d *Dispatcher) start(o *planner.StartOrder) {
-	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Order)
-	defer cancel()
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Sent: d.Now()}
-	answer, err := d.Platform.Start(ctx, o)
-	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number}
+	d.order("start", r, func(ctx context.Context) (Answer, error) { return d.Platform.Start(ctx, o) })
 	d.Report(r)
 }
 
 func (d *Dispatcher) stop(o *planner.StopOrder) {
-	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Order)
-	defer cancel()
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true, Sent: d.Now()}
-	answer, err := d.Platform.Stop(ctx, o)
-	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true}
+	d.order("stop", r, func(ctx context.Context) (Answer, error) { return d.Platform.Stop(ctx, o) })
 	d.Report(r)
 }
 
 // pace makes no report: the effect shows in the next look.
 func (d *Dispatcher) pace(o *planner.PaceOrder) {
+	d.order("pace", &planner.OrderReport{}, func(ctx context.Context) (Answer, error) { return d.Platform.Pace(ctx, o) })
+}
+
+// order makes a call and fills in what became of it.
+func (d *Dispatcher) order(kind string, r *planner.OrderReport, call func(context.Context) (Answer, error)) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Order)
 	defer cancel()
-	_, _ = d.Platform.Pace(ctx, o)
+	r.Sent = d.Now()
+	answer, err := call(ctx)
+	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
+	d.count(kind, r.Answered, r.Refusal, r.Sent)
+}
+
+func (d *Dispatcher) count(kind string, answered bool, refusal planner.Refusal, sent time.Time) {
+	if d.Meter == nil {
+		return
+	}
+	outcome := "done"
+	switch {
+	case !answered:
+		outcome = "unanswered"
+	case refusal != planner.NotRefused:
+		outcome = "refused " + refusal.String()
+	}
+	d.Meter.Order(kind, outcome, d.Now().Sub(sent))
 }
 
 func (d *Dispatcher) look(o *planner.LookOrder) {
@@ -134,6 +152,7 @@
 	err := d.Platform.Look(ctx, o, r)
 	r.Answered = err == nil
 	r.Received = d.Now()
+	d.count("look", r.Answered, r.Refusal, r.Sent)
 	d.Report(r)
 }
 
@@ -165,6 +184,8 @@
 func (d *Dispatcher) Ask(o *planner.AskOrder) *planner.AskReport {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Ask)
 	defer cancel()
+	sent := d.Now()
 	admitted, busy, err := d.Platform.Ask(ctx, o.Step, o.Targets)
+	d.count("licence", err == nil && !busy, planner.NotRefused, sent)
 	return &planner.AskReport{ID: o.ID, Answered: err == nil && !busy, Busy: busy, Admitted: admitted}
 }
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 
+	"masticroad/internal/metrics/meter"
 	"masticroad/internal/peer/leader"
 	"masticroad/internal/workflow/planner"
 )
@@ -43,15 +44,18 @@
 	Ask   func(o *planner.AskOrder) *planner.AskReport
 	Log   hclog.Logger
 	Now   func() time.Time
-
-	mu      sync.Mutex
-	pending map[uint64]*pending
-	nextID  uint64
-	current *link // nil: there is no stream to a leader
-	known   []string
-	leader  found
-	lostAt  time.Time     // when current became nil
-	changed chan struct{} // closed when leader changes
+	Meter *meter.Meter // nil: nothing is counted
+
+	mu       sync.Mutex
+	pending  map[uint64]*pending
+	nextID   uint64
+	current  *link // nil: there is no stream to a leader
+	known    []string
+	leader   found
+	lostAt   time.Time // when current became nil
+	failed   int       // calls not decided in the present second
+	failedAt time.Time
+	changed  chan struct{} // closed when leader changes
 }
 
 type pending struct {
@@ -80,6 +84,43 @@
 // calls wait as long as an election takes; after that they are refused at once,
 // so that they come back when there may be one.
 func (r *Relayer) Do(ctx context.Context, call leader.Call) leader.Reply {
+	begun := r.Now()
+	reply := r.do(ctx, call)
+	took := r.Now().Sub(begun)
+	r.Meter.Call(call.Kind(), reply.Verdict.String(), took)
+	if reply.Verdict == planner.Uncertain || reply.Verdict == planner.NotReady {
+		r.logFailure(&call, &reply, took)
+	}
+	return reply
+}
+
+// logFailure logs a call that the leader did not decide, at most failureLines a
+// second.
+func (r *Relayer) logFailure(call *leader.Call, reply *leader.Reply, took time.Duration) {
+	now := r.Now()
+	r.mu.Lock()
+	if now.Sub(r.failedAt) >= time.Second {
+		r.failedAt, r.failed = now, 0
+	}
+	r.failed++
+	n, lead, term, lost := r.failed, r.leader.address, r.leader.term, r.lostAt
+	linked := r.current != nil
+	r.mu.Unlock()
+	if n > failureLines {
+		return
+	}
+	fields := []any{"kind", call.Kind(), "about", call.About(), "verdict", reply.Verdict.String(), "reason", reply.Reason, "took", took.Milliseconds(),
+		"leader", lead, "term", term, "linked", linked}
+	if !linked {
+		fields = append(fields, "unlinked", now.Sub(lost).Milliseconds())
+	}
+	r.Log.Warn("call not decided", fields...)
+}
+
+// failureLines bounds the log while no leader is in reach.
+const failureLines = 50
+
+func (r *Relayer) do(ctx context.Context, call leader.Call) leader.Reply {
 	sent := false
 	begun := r.Now()
 	for {
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -10,6 +10,7 @@
 	"math/rand"
 	"net"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 	"masticroad/internal/daemon/dispatcher"
 	"masticroad/internal/daemon/relayer"
 	"masticroad/internal/daemon/timekeeper"
+	"masticroad/internal/metrics/meter"
 	"masticroad/internal/peer/leader"
 	"masticroad/internal/peer/replica"
 	"masticroad/internal/state/replicator"
@@ -61,6 +63,7 @@
 	Listener net.Listener // for other daemons; nil: the address in Settings
 
 	Relayer *relayer.Relayer
+	Meter   *meter.Meter // nil: nothing is counted
 
 	clock  timekeeper.Timekeeper
 	node   *replicator.Node
@@ -75,11 +78,11 @@
 // Open makes the parts.
 func (s *Supervisor) Open(ctx context.Context) error {
 	s.client = &replica.Client{Named: true, Traffic: &replica.Traffic{}}
-	s.disp = &dispatcher.Dispatcher{Platform: s.Platform, Now: s.clock.Steady, Log: s.Log.Named("dispatcher")}
+	s.disp = &dispatcher.Dispatcher{Platform: s.Platform, Now: s.clock.Steady, Log: s.Log.Named("dispatcher"), Meter: s.Meter}
 	s.done = make(chan struct{})
 	s.Relayer = &relayer.Relayer{
 		Name: s.Settings.Name, Dial: func(a string) (*grpc.ClientConn, error) { return s.client.Dial(a) }, Seeds: s.Seeds,
-		Ask: s.disp.Ask, Log: s.Log.Named("relay"), Now: s.clock.Steady,
+		Ask: s.disp.Ask, Log: s.Log.Named("relay"), Now: s.clock.Steady, Meter: s.Meter,
 	}
 	s.Relayer.Open()
 	if s.Settings.DataFolder == "" {
@@ -113,7 +116,7 @@
 	s.coord = &coordinator.Coordinator{
 		Node: s.node, Clock: s.clock, Log: s.Log.Named("coordinator"), Dispatcher: s.disp, Name: planner.AdviserID(s.Settings.Name),
 		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name}},
-		MaxBytes: snapshotBytes, Follow: s.Relayer.Learn,
+		MaxBytes: snapshotBytes, Follow: s.Relayer.Learn, Meter: s.Meter,
 	}
 	s.coord.Open(ctx)
 	s.disp.Report = s.coord.Report
@@ -191,26 +194,34 @@
 		<-ctx.Done()
 		return nil
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	failed := make(chan error, 3)
+	var parts sync.WaitGroup
+	part := func(name string, run func() error) {
+		parts.Go(func() { failed <- errors.Annotate(run(), name) })
+	}
 	s.saved = replicator.Saved{}
 	go s.client.Run(ctx)
 	s.client.Know(daemonNames(s.Seeds(), s.Settings.Name))
-	go func() {
+	part("replica", func() error {
 		defer close(s.done)
-		failed <- errors.Annotate(s.node.Run(ctx), "replica")
-	}()
-	go func() { failed <- errors.Annotate(s.coord.Run(), "coordinator") }()
+		return s.node.Run(ctx)
+	})
+	part("coordinator", s.coord.Run)
 	server := &replica.Server{
 		Handler: handler{s}, Listener: s.Listener, Traffic: s.client.Traffic,
 		Register: func(r grpc.ServiceRegistrar) { leader.Register(r, s.coord) },
 	}
-	go func() { failed <- errors.Annotate(server.Run(ctx), "server for daemons") }()
+	part("server for daemons", func() error { return server.Run(ctx) })
 	go s.followSeeds(ctx)
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return nil
+		// The address and the data folder are free once the parts have ended.
+		parts.Wait()
+		return errors.Annotate(s.store.Close(), "daemon: data folder")
 	}
 }
 
--- a/internal/load/emulator/target.go
+++ b/internal/load/emulator/target.go
@@ -118,6 +118,17 @@
 // Down reports whether the target has no life at present.
 func (t *Target) Down() bool { return t.down }
 
+// RunsOf returns how many runs of a job the target has.
+func (t *Target) RunsOf(id definer.JobID) int {
+	n := 0
+	for key := range t.runs {
+		if key.Task.Job == id {
+			n++
+		}
+	}
+	return n
+}
+
 // SetFaults changes the target's faults.
 func (t *Target) SetFaults(f Faults, now time.Time) {
 	t.Advance(now)
--- /dev/null
+++ b/internal/metrics/meter/meter.go
@@ -0,0 +1,160 @@
+// Package meter counts what a daemon of a cell of workflows does, for
+// Prometheus: how jobs of each queue were served, calls of callers and targets,
+// calls to targets, and what the leader has before it.
+package meter
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"masticroad/internal/workflow/planner"
+	"masticroad/internal/workflow/tracker"
+)
+
+// This file holds all metrics. A nil *Meter counts nothing.
+
+const namespace = "masticroad"
+
+// Meter holds the metrics of one daemon.
+type Meter struct {
+	registry *prometheus.Registry
+	jobs     *prometheus.HistogramVec
+	waits    *prometheus.HistogramVec
+	late     *prometheus.CounterVec
+	calls    *prometheus.HistogramVec
+	orders   *prometheus.HistogramVec
+	rounds   prometheus.Histogram
+	ends     *prometheus.CounterVec
+	leading  prometheus.Gauge
+	voters   prometheus.Gauge
+	load     atomic.Pointer[planner.Load]
+}
+
+// New returns a meter with the process's own metrics.
+func New() *Meter {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 16) // 1 ms to 33 s
+	histogram := func(name, help string, labels ...string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+	}
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		jobs:     histogram("job_seconds", "Time from a job's acceptance to its end.", "queue", "state"),
+		waits:    histogram("step_wait_seconds", "Time from when a step could begin until each of its tasks was placed.", "queue"),
+		calls:    histogram("call_seconds", "Time of calls passed on to the leader.", "kind", "verdict"),
+		orders:   histogram("order_seconds", "Time of calls to targets and services.", "kind", "outcome"),
+		late: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "jobs_late_total", Help: "Jobs that took longer than their objective by the declared run times.",
+		}, []string{"queue"}),
+		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "runs_ended_total", Help: "Runs by how they ended.",
+		}, []string{"how"}),
+		rounds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "round_seconds", Help: "Time that the leader decides in one round.",
+			Buckets: prometheus.ExponentialBuckets(0.00001, 2, 16), // 10 us to 0.3 s
+		}),
+		leading: prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "leading", Help: "1 while this daemon leads."}),
+	}
+	m.voters = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "voters", Help: "Voters of the log, as this replica knows them."})
+	m.load.Store(&planner.Load{})
+	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.orders, m.late, m.ends, m.rounds, m.leading, m.voters, collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.gauges()
+	return m
+}
+
+func (m *Meter) gauges() {
+	gauge := func(name, help string, value func(*planner.Load) int) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help},
+			func() float64 { return float64(value(m.load.Load())) }))
+	}
+	gauge("tasks_waiting", "Tasks that could run and have no run, at the leader.", func(l *planner.Load) int { return l.Waiting })
+	gauge("runs", "Runs that have not ended, at the leader.", func(l *planner.Load) int { return l.Running })
+	gauge("jobs", "Jobs that have not ended, at the leader.", func(l *planner.Load) int { return l.Jobs })
+	gauge("targets", "Targets, at the leader.", func(l *planner.Load) int { return l.Targets })
+	gauge("targets_silent", "Targets that do not answer, at the leader.", func(l *planner.Load) int { return l.Silent })
+	gauge("targets_suspected", "Targets that get no new work for a time, at the leader.", func(l *planner.Load) int { return l.Suspects })
+	gauge("licence_calls", "Calls of the licensing service without an answer, at the leader.", func(l *planner.Load) int { return l.Asks })
+}
+
+// Job takes in the end of a job.
+func (m *Meter) Job(e *planner.JobEnd) {
+	if m == nil {
+		return
+	}
+	queue := string(e.Queue)
+	m.jobs.WithLabelValues(queue, e.State.String()).Observe(e.Took.Seconds())
+	for _, wait := range e.Waits {
+		m.waits.WithLabelValues(queue).Observe(wait.Seconds())
+	}
+	if e.Late {
+		m.late.WithLabelValues(queue).Inc()
+	}
+}
+
+// Run takes in the end of a run.
+func (m *Meter) Run(how tracker.End) {
+	if m != nil {
+		m.ends.WithLabelValues(how.String()).Inc()
+	}
+}
+
+// Call takes in a call that was passed on to the leader.
+func (m *Meter) Call(kind, verdict string, took time.Duration) {
+	if m != nil {
+		m.calls.WithLabelValues(kind, verdict).Observe(took.Seconds())
+	}
+}
+
+// Order takes in a call to a target or a service.
+func (m *Meter) Order(kind, outcome string, took time.Duration) {
+	if m != nil {
+		m.orders.WithLabelValues(kind, outcome).Observe(took.Seconds())
+	}
+}
+
+// Round takes in a round of the leader.
+func (m *Meter) Round(took time.Duration) {
+	if m != nil {
+		m.rounds.Observe(took.Seconds())
+	}
+}
+
+// Leading tells whether this daemon leads. What it had before it is forgotten
+// when it does not.
+func (m *Meter) Leading(leads bool) {
+	if m == nil {
+		return
+	}
+	if leads {
+		m.leading.Set(1)
+		return
+	}
+	m.leading.Set(0)
+	m.load.Store(&planner.Load{})
+}
+
+// SetVoters tells how many voters the log has.
+func (m *Meter) SetVoters(n int) {
+	if m != nil {
+		m.voters.Set(float64(n))
+	}
+}
+
+// SetLoad tells what the leader has before it.
+func (m *Meter) SetLoad(l planner.Load) {
+	if m != nil {
+		m.load.Store(&l)
+	}
+}
+
+// Handler serves the metrics.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Timeout: scrapeTimeout})
+}
+
+const scrapeTimeout = 5 * time.Second
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"google.golang.org/grpc"
@@ -66,6 +67,54 @@
 	WaveOf   tracker.WaveID        `cbor:"10,keyasint,omitempty"`
 }
 
+// Kind names what a call asks for.
+func (c *Call) Kind() string {
+	switch {
+	case c.Submit != nil:
+		return "Submit"
+	case c.State != nil:
+		return "State"
+	case c.Cancel != nil:
+		return "Cancel"
+	case c.Announce != nil:
+		return "Announce"
+	case c.Depart != "":
+		return "Depart"
+	case c.Put != nil:
+		return "Put"
+	case c.Fetch:
+		return "Fetch"
+	case c.Wave != nil:
+		return "Wave"
+	case c.WaveOf != 0:
+		return "WaveOf"
+	}
+	return "None"
+}
+
+// About names the job, target, document or wave that a call is about.
+func (c *Call) About() string {
+	switch {
+	case c.Submit != nil:
+		return c.Submit.Job.ID.String()
+	case c.State != nil:
+		return c.State.Path
+	case c.Cancel != nil:
+		return c.Cancel.Path
+	case c.Announce != nil:
+		return string(c.Announce.Target.ID)
+	case c.Depart != "":
+		return string(c.Depart)
+	case c.Put != nil:
+		return fmt.Sprint(c.Put.Version)
+	case c.Wave != nil:
+		return fmt.Sprint(c.Wave.ID)
+	case c.WaveOf != 0:
+		return fmt.Sprint(c.WaveOf)
+	}
+	return ""
+}
+
 // Place is the host and path of a caller's call.
 type Place struct {
 	Host string `cbor:"1,keyasint"`
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -291,10 +291,12 @@
 	p.closeJob(j)
 	delete(p.jobs, j.id)
 	steps := make([]string, len(j.passed))
+	waits := make([]time.Duration, len(j.passed))
 	for i, x := range j.passed {
-		steps[i] = j.describe(x)
+		steps[i], waits[i] = j.describe(x), x.waited
 	}
 	took, objective := time.Duration(j.rec.Ended-j.rec.Accepted)*time.Millisecond, p.objective(j)
+	p.round.Jobs = append(p.round.Jobs, JobEnd{j.rec.Queue.Name, j.rec.State, took, waits, took > objective})
 	p.note("job ended", "job", j.id.String(), "queue", j.rec.Queue.Name, "state", j.rec.State.String(),
 		"took", took.Milliseconds(), "objective", objective.Milliseconds(), "late", took > objective, "steps", steps)
 }
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -92,6 +92,39 @@
 	After  []Action // to be carried out once Events are committed
 	Now    []Action // to be carried out at once
 	Notes  []Note
+	Jobs   []JobEnd // that ended, with none of their runs left
+}
+
+// JobEnd tells how a job was served.
+type JobEnd struct {
+	Queue definer.QueueName
+	State tracker.JobState
+	Took  time.Duration   // from its acceptance
+	Waits []time.Duration // of its steps, until each of their tasks was placed
+	Late  bool            // against its objective by the declared run times
+}
+
+// Load tells what a leader has before it.
+type Load struct {
+	Waiting, Running, Jobs, Targets, Silent, Suspects, Asks int
+}
+
+// Load counts what is before the leader.
+func (p *Planner) Load(now Moment) Load {
+	l := Load{Jobs: len(p.jobs), Targets: len(p.targets), Asks: len(p.asks)}
+	for _, s := range p.steps {
+		l.Waiting += len(s.waiting)
+	}
+	for _, t := range p.targets {
+		l.Running += len(t.runs)
+		if !t.answers {
+			l.Silent++
+		}
+		if now.Steady.Before(t.health.until) {
+			l.Suspects++
+		}
+	}
+	return l
 }
 
 // Note is a decision to be logged.
--- a/internal/workflow/planner/waves.go
+++ b/internal/workflow/planner/waves.go
@@ -16,11 +16,10 @@
 
 // upkeep is the leader's view of all waves.
 type upkeep struct {
-	emptying  map[tracker.VMID]*emptying
-	ordered   map[tracker.VMID]*vmOrder // orders that have no answer yet
-	blocked   map[tracker.VMID]time.Time
-	listAt    time.Time // of the newest list that was asked for
-	following bool      // some wave is not done
+	emptying map[tracker.VMID]*emptying
+	ordered  map[tracker.VMID]*vmOrder // orders that have no answer yet
+	blocked  map[tracker.VMID]time.Time
+	listAt   time.Time // of the newest list that was asked for
 }
 
 // emptying is a VM that is being emptied to be taken down.
