--- a/internal/cli/commander/commander.go
+++ b/internal/cli/commander/commander.go
@@ -28,6 +28,7 @@
 var verbs = []func(*streams) *cobra.Command{
 	newServe,
 	newPlatform,
+	newRehearse,
 	newInit,
 	newCheck,
 	newDemo,
--- a/internal/cli/commander/platform.go
+++ b/internal/cli/commander/platform.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/spf13/cobra"
 
+	"masticroad/internal/daemon/logger"
 	"masticroad/platform"
 )
 
@@ -23,7 +24,9 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			debug.SetGCPercent(platformGC)
-			log := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: s.out, Level: hclog.Info})
+			out := logger.New(s.out)
+			defer out.Close()
+			log := hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: out, Level: hclog.Info})
 			return failed(platform.Run(cmd.Context(), path, log))
 		},
 	}
