Send entries that are on their way once, however late answers are

Change: bytes on their way are bounded (512 KiB); they count as lost by the time that they may take, or when a later heartbeat is answered without them; heartbeats assume nothing that is on its way; a refusal of what was sent again since is passed over.

--- a/internal/state/replicator/core.go
+++ b/internal/state/replicator/core.go
@@ -19,7 +19,9 @@
 // Limits of one message.
 const (
 	maxAppendBytes  = 256 << 10
-	maxInflight     = 32
+	maxInflight     = 32        // messages with entries that have no answer
+	maxInflightSize = 512 << 10 // bytes of their entries
+	slowestLink     = 128 << 10 // bytes a second, by which answers may be late; a tenth of what a link between regions carries for one replica
 	snapshotChunk   = 64 << 10
 	resendAfterBeat = 3 // heartbeats without an answer before a resend
 )
@@ -95,17 +97,61 @@
 
 // progress is what a leader holds of another replica.
 type progress struct {
-	match    registrar.Index
-	next     registrar.Index
-	inflight int
-	seq      uint64 // newest answered round
-	heard    time.Time
-	sent     time.Time
-	learner  bool
-	durable  bool
-	chunk    int  // offset of the snapshot in transfer
-	sending  bool // a snapshot is in transfer
-	probing  bool // the position is not known: one message at a time
+	match   registrar.Index
+	next    registrar.Index
+	flights []flight // messages with entries that have no answer, oldest first
+	seq     uint64   // newest answered round
+	heard   time.Time
+	sent    time.Time
+	learner bool
+	durable bool
+	chunk   int  // offset of the snapshot in transfer
+	sending bool // a snapshot is in transfer
+	probing bool // the position is not known: one message at a time
+}
+
+// flight is a message with entries on its way.
+type flight struct {
+	prev registrar.Index // before its entries
+	last registrar.Index // of its entries
+	size int             // bytes
+	seq  uint64          // of the round that it was sent in
+	at   time.Time       // when it was sent
+}
+
+// land forgets the messages up to an index that was answered.
+func (p *progress) land(index registrar.Index) {
+	n := 0
+	for n < len(p.flights) && p.flights[n].last <= index {
+		n++
+	}
+	p.flights = p.flights[n:]
+}
+
+// concerns reports whether a refusal of an append after an index is about
+// something that is on its way, and not about what was sent again since.
+func (p *progress) concerns(prev registrar.Index) bool {
+	for _, f := range p.flights {
+		if f.prev == prev {
+			return true
+		}
+	}
+	return len(p.flights) == 0 && prev == p.next-1
+}
+
+// missed reports whether an answer shows that the oldest message on its way was
+// lost: the replica has what was before it, and has answered a later heartbeat.
+func (p *progress) missed(m Message) bool {
+	return len(p.flights) > 0 && m.Index == p.flights[0].prev && m.Seq > p.flights[0].seq
+}
+
+// flying returns the bytes that are on their way.
+func (p *progress) flying() int {
+	size := 0
+	for _, f := range p.flights {
+		size += f.size
+	}
+	return size
 }
 
 // ReadID identifies a linearizable read.
--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,6 +95,51 @@
 	c.Assert(voters, quicktest.Contains, d.members[4].core.ID)
 }
 
+// A follower that was away catches up over a narrow link while the leader goes
+// on. What is on its way must not be sent again because answers take long.
+func TestCatchingUpOverANarrowLinkSendsEntriesOnce(t *testing.T) {
+	c := quicktest.New(t)
+	const (
+		backlog = 2000
+		size    = 1024 // bytes of an entry
+		rate    = 1 << 19
+	)
+	d := newDriver(1, 3, 0)
+	d.faults, d.keepLog = false, true
+	d.run(3 * time.Second)
+	lead := d.leader()
+	var away *member
+	for _, m := range d.members {
+		if m != lead {
+			away = m
+		}
+	}
+	way := [2]string{lead.name, away.name}
+	d.narrow, d.free, d.sent = map[[2]string]int{way: rate}, map[[2]string]time.Duration{}, map[[2]string]int{}
+	d.crash(away)
+	value := strings.Repeat("x", size)
+	for n := range backlog {
+		_, err := lead.core.Propose([]byte(fmt.Sprint(n, value)), d.clock(lead))
+		c.Assert(err, quicktest.IsNil)
+		d.run(2 * time.Millisecond)
+	}
+	d.flight, d.free[way] = nil, 0 // what was sent meanwhile went nowhere
+	d.boot(away)
+	d.sent[way] = 0
+	total := len(lead.applied)
+	for n := 0; len(away.applied) < total; n++ {
+		c.Assert(n < 2000, quicktest.IsTrue, quicktest.Commentf("it has %d of %d", len(away.applied), total))
+		_, err := lead.core.Propose([]byte(fmt.Sprint("more", n, value)), d.clock(lead))
+		c.Assert(err, quicktest.IsNil)
+		total++
+		d.run(10 * time.Millisecond)
+	}
+	c.Logf("sent %d of %d", d.sent[way], total*size)
+	c.Assert(d.leader(), quicktest.Equals, lead)
+	c.Assert(float64(d.sent[way]) < 1.2*float64(total*size), quicktest.IsTrue,
+		quicktest.Commentf("%d bytes were sent for %d", d.sent[way], total*size))
+}
+
 // The checks above must notice when a protection is switched off.
 func TestSchedulesNoticeMissingProtections(t *testing.T) {
 	for name, disabled := range map[string]replicator.Mechanism{
--- a/internal/state/replicator/driver_test.go
+++ b/internal/state/replicator/driver_test.go
@@ -97,6 +97,12 @@
 	faults   bool
 	wipes    int
 	open     bool // durable members become voters by themselves
+	keepLog  bool // no snapshots are taken
+	// narrow bounds what a link carries, in bytes a second; free is when it has
+	// carried all that was sent, sent counts the bytes of entries.
+	narrow map[[2]string]int
+	free   map[[2]string]time.Duration
+	sent   map[[2]string]int
 }
 
 // newOpenDriver makes a cell with open membership: members are named by
@@ -309,7 +315,9 @@
 	}
 	m.core.Tick(d.clock(m))
 	d.flush(m)
-	d.maybeCompact(m)
+	if !d.keepLog {
+		d.maybeCompact(m)
+	}
 }
 
 func (d *driver) send(messages []replicator.Message) {
@@ -327,12 +335,30 @@
 			if d.faults && d.rand.Intn(100) == 0 {
 				delay = time.Duration(d.rand.Intn(1500)) * time.Millisecond
 			}
+			if d.narrow[[2]string{from, to}] > 0 {
+				delay = d.queueing([2]string{from, to}, m) // in order
+			}
 			d.seq++
 			d.flight = append(d.flight, delivery{d.now + delay, d.seq, m})
 		}
 	}
 }
 
+// queueing returns how long a message waits before a narrow link.
+func (d *driver) queueing(way [2]string, m replicator.Message) time.Duration {
+	rate := d.narrow[way]
+	size := 0
+	for _, e := range m.Entries {
+		size += len(e.Data)
+	}
+	if m.Chunk != nil {
+		size += len(m.Chunk.Data)
+	}
+	d.sent[way] += size
+	d.free[way] = max(d.free[way], d.now) + time.Duration(size)*time.Second/time.Duration(rate)
+	return d.free[way] - d.now
+}
+
 // flush carries out what a core decided. Writes take their time, during which
 // the core takes in further messages.
 func (d *driver) flush(m *member) {
--- a/internal/state/replicator/follower.go
+++ b/internal/state/replicator/follower.go
@@ -75,6 +75,7 @@
 
 func (c *Core) handleAppend(m Message) {
 	reply := Message{Type: MsgAppendReply, To: m.From, Seq: m.Seq}
+	prev := m.Index
 	if m.Index < c.log.snap.Index {
 		reply.Index = c.log.snap.Index
 		m = c.skipCompacted(m)
@@ -82,6 +83,7 @@
 	t, ok := c.log.term(m.Index)
 	if !ok || t != m.LogTerm {
 		reply.Reject = true
+		reply.Index = prev // tells which append it was
 		reply.Hint = c.rejectHint(m)
 		c.send(reply)
 		return
--- a/internal/state/replicator/leader.go
+++ b/internal/state/replicator/leader.go
@@ -96,39 +96,54 @@
 }
 
 func (c *Core) sendAppend(id ReplicaID, p *progress, now time.Time, beat bool) {
-	stalled := now.Sub(p.heard) >= resendAfterBeat*c.Timing.Heartbeat
-	if beat && stalled && p.inflight > 0 {
-		p.next, p.inflight, p.probing = p.match+1, 0, true
+	if beat && len(p.flights) > 0 && now.Sub(p.flights[0].at) >= c.answerTime(p) {
+		p.next, p.flights, p.probing = p.match+1, nil, true
 	}
 	if p.next <= c.log.snap.Index {
 		c.sendSnapshot(id, p, now, beat)
 		return
 	}
-	entries := c.log.upTo(p.next, maxAppendBytes)
-	busy := p.inflight >= maxInflight || p.probing && p.inflight > 0
-	if busy {
-		entries = nil
+	var entries []Entry
+	if !p.busy() {
+		entries = c.log.upTo(p.next, maxAppendBytes)
 	}
 	if len(entries) == 0 && !beat {
 		return
 	}
 	prev := p.next - 1
+	if len(entries) == 0 && len(p.flights) > 0 {
+		prev = p.flights[0].prev // a heartbeat may overtake what is on its way
+	}
 	term, _ := c.log.term(prev)
 	c.send(Message{Type: MsgAppend, To: id, Index: prev, LogTerm: term, Entries: entries, Commit: c.commit, Seq: c.seq})
 	p.sent = now
 	if len(entries) > 0 {
-		p.inflight++
+		p.flights = append(p.flights, flight{prev, entries[len(entries)-1].Index, sizeOf(entries), c.seq, now})
 		p.next = entries[len(entries)-1].Index + 1
 	}
 }
 
+// busy reports whether no more entries may be sent until some are answered.
+func (p *progress) busy() bool {
+	if p.probing {
+		return len(p.flights) > 0
+	}
+	return len(p.flights) >= maxInflight || p.flying() >= maxInflightSize
+}
+
+// answerTime returns the time after which entries on their way are held to be
+// lost. Large ones take their time, and to send them again would only add to it.
+func (c *Core) answerTime(p *progress) time.Duration {
+	return resendAfterBeat*c.Timing.Heartbeat + time.Duration(p.flying())*time.Second/slowestLink
+}
+
 // sendSnapshot sends the next chunk of the snapshot. One chunk is in flight at
 // a time; a heartbeat sends it again when no answer came.
 func (c *Core) sendSnapshot(id ReplicaID, p *progress, now time.Time, beat bool) {
 	snap := &c.log.snap
 	if !p.sending {
 		p.sending, p.chunk = true, 0
-	} else if !beat || now.Sub(p.sent) < resendAfterBeat*c.Timing.Heartbeat {
+	} else if !beat || now.Sub(p.sent) < resendAfterBeat*c.Timing.Heartbeat+snapshotChunk*time.Second/slowestLink {
 		return
 	}
 	c.sendChunk(id, p, snap, now)
@@ -179,13 +194,19 @@
 	if p == nil {
 		return
 	}
-	p.inflight = max(p.inflight-1, 0)
 	if m.Reject {
+		if !p.concerns(m.Index) {
+			return
+		}
 		p.next = max(min(m.Hint+1, p.next-1), p.match+1)
-		p.inflight, p.probing = 0, true
+		p.flights, p.probing = nil, true
 		c.sendAppend(m.From, p, now, true)
 		return
 	}
+	p.land(m.Index)
+	if p.missed(m) {
+		p.next, p.flights = m.Index+1, nil
+	}
 	if m.Index > p.match {
 		p.match = m.Index
 	}
--- a/internal/state/replicator/log.go
+++ b/internal/state/replicator/log.go
@@ -59,6 +59,14 @@
 	return all
 }
 
+func sizeOf(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data) + entryOverhead
+	}
+	return size
+}
+
 const entryOverhead = 16
 
 // truncate drops the entries from index i on.
