--- a/internal/daemon/logger/logger.go
+++ b/internal/daemon/logger/logger.go
@@ -4,6 +4,7 @@
 package logger
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -15,6 +16,7 @@
 
 const (
 	maxBuffered   = 1 << 20               // bytes of lines that wait; a few seconds of the busiest leader
+	maxPiece      = 4 << 10               // bytes of one write; what a pipe takes as a whole
 	flushInterval = 20 * time.Millisecond // lines of a round of the leader are written together
 )
 
@@ -79,13 +81,29 @@
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 	}
-	_, _ = w.out.Write(lines) // there is nowhere else to tell
+	w.write(lines)
 	w.mu.Lock()
 	w.spare = lines[:0]
 	w.mu.Unlock()
 	return !closed
 }
 
+// write passes lines on in pieces of whole lines, since readers of a pipe may
+// cut longer writes.
+func (w *Writer) write(lines []byte) {
+	for len(lines) > 0 {
+		end := len(lines)
+		if end > maxPiece {
+			end = bytes.LastIndexByte(lines[:maxPiece], '\n') + 1
+		}
+		if end == 0 {
+			end = len(lines) // one line that is longer than a piece
+		}
+		_, _ = w.out.Write(lines[:end]) // there is nowhere else to tell
+		lines = lines[end:]
+	}
+}
+
 // Close writes what is left and waits for it. Later lines are dropped.
 func (w *Writer) Close() {
 	w.mu.Lock()
--- a/internal/daemon/logger/logger_test.go
+++ b/internal/daemon/logger/logger_test.go
@@ -41,6 +41,29 @@
 	c.Assert(lines[999], quicktest.Equals, "line 999")
 }
 
+// pieces is a reader of a pipe that keeps no more than 4 KiB of a write.
+type pieces struct{ out bytes.Buffer }
+
+func (p *pieces) Write(b []byte) (int, error) {
+	p.out.Write(b[:min(len(b), 4096)])
+	return len(b), nil
+}
+
+func TestLongBurstsAreWrittenInPieces(t *testing.T) {
+	c := quicktest.New(t)
+	p := &pieces{}
+	w := logger.New(p)
+	for i := range 500 {
+		_, _ = fmt.Fprintf(w, "line %d %s\n", i, strings.Repeat("x", 100)) // it never fails
+	}
+	w.Close()
+	lines := strings.Split(strings.TrimSpace(p.out.String()), "\n")
+	c.Assert(lines, quicktest.HasLen, 500)
+	for i, line := range lines {
+		c.Assert(strings.HasPrefix(line, fmt.Sprintf("line %d ", i)), quicktest.IsTrue)
+	}
+}
+
 func TestNothingWaitsForAStreamThatIsStuck(t *testing.T) {
 	c := quicktest.New(t)
 	s := &stuck{release: make(chan struct{})}
