--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -26,6 +26,7 @@
 	// estimates holds the declared run times, since declarations are dropped at
 	// the job's end.
 	estimates []time.Duration
+	preempted map[definer.TaskID]int // times that its tasks were stopped for others
 }
 
 // passage tells where the time of a step went, for the log.
@@ -72,29 +73,33 @@
 
 // step is a step that has begun and is not done.
 type step struct {
-	id       definer.StepID
-	def      *definer.Step
-	rec      *tracker.Step
-	job      *job
-	pool     definer.PoolName
-	priority int
-	latest   time.Time // it must begin by then to meet the job's objective
-	since    time.Time // it has been ready since then
-	placed   time.Time // when the newest first run of a task was decided
-	reruns   int       // runs beyond the first of each task
-	waiting  []int     // tasks without a run, that are not done
-	admitted map[tracker.TargetID]bool
-	tickets  map[tracker.TargetID]ticket
-	asking   AskID // 0: none
-	askAfter time.Time
-	took     []time.Duration // run times of tasks that are done
-	moves    map[int]int     // moves and copies of each task
-	usual    time.Duration   // run time of a task, as far as is known
+	id        definer.StepID
+	def       *definer.Step
+	rec       *tracker.Step
+	job       *job
+	pool      definer.PoolName
+	priority  int
+	latest    time.Time // it must begin by then to meet the job's objective
+	since     time.Time // it has been ready since then
+	placed    time.Time // when the newest first run of a task was decided
+	reruns    int       // runs beyond the first of each task
+	waiting   []int     // tasks without a run, that are not done
+	admitted  map[tracker.TargetID]bool
+	tickets   map[tracker.TargetID]ticket
+	asking    AskID // 0: none
+	askAfter  time.Time
+	took      []time.Duration // run times of tasks that are done
+	moves     map[int]int     // moves and copies of each task
+	preemptAt time.Time       // it may stop others from then on
+	rack      string          // on which its next tasks have to run; empty: any
+	usual     time.Duration   // run time of a task, as far as is known
 }
 
 // addJob begins to follow a job of the tables.
 func (p *Planner) addJob(rec *tracker.Job, now Moment) *job {
-	j := &job{rec: rec, id: rec.ID, runs: make(map[runKey]*run), chains: chainsOf(rec.Def)}
+	j := &job{
+		rec: rec, id: rec.ID, runs: make(map[runKey]*run), chains: chainsOf(rec.Def), preempted: make(map[definer.TaskID]int),
+	}
 	for i := range rec.Def.Steps {
 		j.estimates = append(j.estimates, rec.Def.Steps[i].Estimate)
 	}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -39,7 +39,7 @@
 
 // place starts what has room.
 func (p *Planner) place(now Moment) {
-	for _, s := range slices.Clone(p.order) {
+	for _, s := range p.turns(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
 		}
@@ -51,11 +51,32 @@
 	}
 }
 
+// turns returns the steps in the order in which they get room. Of one priority,
+// those that can still meet their objective go before those that can't: under
+// overload the others would make each other late, one after the other.
+func (p *Planner) turns(now Moment) []*step {
+	out := make([]*step, 0, len(p.order))
+	for rest := p.order; len(rest) > 0; {
+		n := 1
+		for n < len(rest) && rest[n].priority == rest[0].priority {
+			n++
+		}
+		late := 0
+		for late < n && rest[late].latest.Before(now.Steady) {
+			late++
+		}
+		out = append(append(out, rest[late:n]...), rest[:late]...)
+		rest = rest[n:]
+	}
+	return out
+}
+
 func (p *Planner) placeTasks(s *step, now Moment) {
 	pl := p.pools[s.pool]
 	if pl == nil {
 		return
 	}
+	s.rack = p.confine(s, pl, now)
 	starts := make(map[tracker.RunNumber][]tracker.Placement)
 	var left []int
 	for n, index := range s.waiting {
@@ -70,6 +91,7 @@
 	p.commitStarts(s, starts, now)
 	if len(s.waiting) > 0 {
 		p.seekRoom(s, pl, len(s.waiting), now)
+		p.preempt(s, pl, now)
 	}
 }
 
@@ -134,12 +156,17 @@
 
 // allowed reports whether a step may run on a target at all, now.
 func (p *Planner) allowed(s *step, t *target, now Moment) bool {
-	if !t.open(now) || !t.trusted(now) || s.def.Label != "" && !t.rec.HasLabel(s.def.Label) {
+	if !p.suits(s, t, now) {
 		return false
 	}
 	return !s.job.rec.Queue.Licence.Needed || s.tickets[t.rec.ID].valid(now)
 }
 
+// suits reports whether a step may run on a target but for a ticket.
+func (p *Planner) suits(s *step, t *target, now Moment) bool {
+	return t.open(now) && t.trusted(now) && (s.def.Label == "" || t.rec.HasLabel(s.def.Label)) && (s.rack == "" || t.rec.Rack == s.rack)
+}
+
 // fits reports whether one more task of the step has room on a target.
 func (p *Planner) fits(s *step, t *target) bool {
 	if !s.def.Charge().FitsIn(t.rec.Capacity.Minus(t.used)) {
@@ -195,6 +222,7 @@
 	if pl == nil || len(s.waiting) < s.def.Count {
 		return
 	}
+	s.rack = p.confine(s, pl, now)
 	number := tracker.RunNumber(0)
 	for i := range s.rec.Tasks {
 		number = max(number, s.rec.Tasks[i].Started)
--- /dev/null
+++ b/internal/workflow/planner/preempt.go
@@ -0,0 +1,160 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"masticroad/internal/workflow/tracker"
+)
+
+// This file makes room for urgent work: runs of less urgent queues are stopped
+// when a step finds no room for a while. Those lose least that make checkpoints,
+// since a stop saves all they have done, and those that have only begun. Example:
+// a till's quote of 6 tasks waits while batches fill all targets; two batch tasks
+// that save their work are stopped, and go on when there is room again.
+
+const (
+	preemptPause = 250 * time.Millisecond // over StopTime, until a step may stop more
+	maxPreempted = 2                      // times that a task is stopped for others
+	freshRun     = 600 * time.Millisecond // of a run that has only begun
+)
+
+// preempt stops what keeps a step from starting its waiting tasks.
+func (p *Planner) preempt(s *step, pl *pool, now Moment) {
+	if !p.isPressing(s, pl, now) || now.Steady.Before(s.preemptAt) {
+		return
+	}
+	waited := now.Steady.Sub(s.since)
+	missing := len(s.waiting)
+	for missing > 0 {
+		t, victims := p.cheapest(s, pl, now)
+		if t == nil {
+			break
+		}
+		for _, r := range victims {
+			p.Counters.Preempted++
+			r.job.preempted[r.key.task]++
+			p.note("run preempted", "task", r.key.task.String(), "target", t.rec.ID, "for", s.id.String(), "waited", waited.Milliseconds(),
+				"percent", r.percent, "saves", r.def.Checkpointing)
+			p.stop(r, "preempted", now)
+		}
+		missing--
+	}
+	if missing < len(s.waiting) {
+		s.preemptAt = now.Steady.Add(p.Settings.StopTime + preemptPause)
+	}
+}
+
+// isPressing reports whether a step has found no room for so long that others
+// are stopped for it, and can still meet its objective.
+func (p *Planner) isPressing(s *step, pl *pool, now Moment) bool {
+	if p.Limits.PreemptAfter < 0 || now.Steady.Sub(s.since) < p.Limits.PreemptAfter || s.def.Gang || s.def.Lasting || s.latest.Before(now.Steady) {
+		return false
+	}
+	for _, t := range pl.targets {
+		admitted, asked := s.admitted[t.rec.ID]
+		if p.suits(s, t, now) && p.fits(s, t) && (admitted || !asked || !s.job.rec.Queue.Licence.Needed) {
+			return false // it waits for a ticket
+		}
+	}
+	return true
+}
+
+// preemptable returns the targets for which a pressing step needs tickets before
+// anything is stopped there for it, those with the least work lost first.
+func (p *Planner) preemptable(s *step, pl *pool, tasks int, now Moment) []tracker.TargetID {
+	if !p.isPressing(s, pl, now) {
+		return nil
+	}
+	type option struct {
+		id   tracker.TargetID
+		cost float64
+	}
+	var options []option
+	for _, t := range pl.targets {
+		admitted, asked := s.admitted[t.rec.ID]
+		if !p.suits(s, t, now) || s.tickets[t.rec.ID].valid(now) || asked && !admitted {
+			continue
+		}
+		if _, cost, ok := p.victims(s, t, now); ok {
+			options = append(options, option{t.rec.ID, cost})
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
+	options = options[:min(len(options), max(tasks*nearEnough, namedAtLeast), maxNamed)]
+	ids := make([]tracker.TargetID, len(options))
+	for i, o := range options {
+		ids[i] = o.id
+	}
+	return ids
+}
+
+// cheapest returns the target on which room for one task of the step costs the
+// least work, and what has to be stopped there.
+func (p *Planner) cheapest(s *step, pl *pool, now Moment) (*target, []*run) {
+	var best *target
+	var bestVictims []*run
+	bestCost := 0.0
+	for _, t := range pl.targets {
+		if !p.allowed(s, t, now) || s.job.avoids(t, len(pl.targets), now) || s.def.MaxPerTarget > 0 && p.runsOf(s, t) >= s.def.MaxPerTarget {
+			continue
+		}
+		victims, cost, ok := p.victims(s, t, now)
+		if ok && (best == nil || cost < bestCost) {
+			best, bestVictims, bestCost = t, victims, cost
+		}
+	}
+	return best, bestVictims
+}
+
+// victims returns the runs on a target to be stopped for one more task of a step,
+// and the work that is lost, in processor seconds. What is being stopped already
+// counts as room.
+func (p *Planner) victims(s *step, t *target, now Moment) (out []*run, cost float64, ok bool) {
+	free := t.rec.Capacity.Minus(t.used)
+	var less []*run
+	for _, r := range t.sortedRuns() {
+		switch {
+		case r.stopping:
+			free = free.Plus(r.charge)
+		case p.mayPreempt(s, r, now):
+			less = append(less, r)
+		}
+	}
+	need := s.def.Charge()
+	if need.FitsIn(free) {
+		return nil, 0, false // room comes without another stop
+	}
+	slices.SortStableFunc(less, func(a, b *run) int { return cmp.Compare(lostWork(a, now), lostWork(b, now)) })
+	for _, r := range less {
+		out = append(out, r)
+		cost += lostWork(r, now)
+		if free = free.Plus(r.charge); need.FitsIn(free) {
+			return out, cost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// mayPreempt reports whether a run may be stopped for a step.
+func (p *Planner) mayPreempt(s *step, r *run, now Moment) bool {
+	if r.job.rec.Queue.Priority <= s.priority || r.state != runStarted || r.def.Gang || r.def.Lasting || r.job.preempted[r.key.task] >= maxPreempted {
+		return false
+	}
+	return r.def.Checkpointing || now.Steady.Sub(r.startedAt) < freshRun
+}
+
+// lostWork returns what a stop throws away, in processor seconds.
+func lostWork(r *run, now Moment) float64 {
+	lost := now.Steady.Sub(r.startedAt)
+	if r.def.Checkpointing {
+		lost = restoreTime
+	}
+	return lost.Seconds() * float64(r.def.Need.CPU) / milliPerCPU
+}
+
+const (
+	restoreTime = 600 * time.Millisecond // of a run that begins at a checkpoint; the longest of the first deployments
+	milliPerCPU = 1000
+)
--- /dev/null
+++ b/internal/workflow/planner/racks.go
@@ -0,0 +1,107 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"masticroad/internal/control/registrar"
+)
+
+// This file keeps steps on the racks where they run fast: near their data, or all
+// on one rack. Example: a step's data is on rack r3, where nothing is free; it
+// waits there for a part of what it would lose elsewhere, then runs elsewhere.
+
+const (
+	// maxRackWait bounds the wait for a rack. Callers may expect that nothing waits
+	// for 3 s while there is room.
+	maxRackWait = 1500 * time.Millisecond
+	// rackWaitShare is the part of the time lost elsewhere that is waited for.
+	rackWaitShare = 0.5
+)
+
+// confine returns the rack on which the step's next tasks have to run; empty
+// means any.
+func (p *Planner) confine(s *step, pl *pool, now Moment) string {
+	switch {
+	case s.def.Rack == "" && !s.def.RackLocal:
+		return ""
+	case now.Steady.Sub(s.since) >= p.rackWait(s):
+		return ""
+	case s.def.Rack != "":
+		if p.rackCanTake(s, pl, s.def.Rack, now) {
+			return s.def.Rack
+		}
+		return ""
+	}
+	return p.commonRack(s, pl, now)
+}
+
+// rackWait returns how long a step waits for its rack.
+func (p *Planner) rackWait(s *step) time.Duration {
+	expected := p.biasOf(s.job.rec.Queue.Name).expect(s.def.Estimate)
+	lost := time.Duration(max(p.Settings.RemoteTimes-1, 0)) * expected
+	return min(time.Duration(rackWaitShare*float64(lost)), maxRackWait)
+}
+
+// rackCanTake reports whether a rack has a target that could run a task of the
+// step when it has room.
+func (p *Planner) rackCanTake(s *step, pl *pool, rack string, now Moment) bool {
+	for _, t := range pl.targets {
+		if t.rec.Rack == rack && t.open(now) && t.trusted(now) && s.def.Charge().FitsIn(t.rec.Capacity) &&
+			(s.def.Label == "" || t.rec.HasLabel(s.def.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
+// commonRack returns the rack of a step that should run on one rack: the one on
+// which it runs already, else the one with the least room that is enough for all
+// of it. It is empty when there is none.
+func (p *Planner) commonRack(s *step, pl *pool, now Moment) string {
+	for i := range s.rec.Tasks {
+		for _, x := range s.rec.Tasks[i].Runs {
+			if r := s.job.runs[runKey{s.id.Task(i), x.Number}]; r != nil {
+				return r.target.rec.Rack
+			}
+		}
+	}
+	room := make(map[string]int)
+	for _, t := range pl.targets {
+		if t.open(now) && t.trusted(now) && (s.def.Label == "" || t.rec.HasLabel(s.def.Label)) {
+			room[t.rec.Rack] += p.tasksOn(s, t)
+		}
+	}
+	best := ""
+	racks := make([]string, 0, len(room))
+	for rack := range room {
+		racks = append(racks, rack)
+	}
+	slices.Sort(racks)
+	for _, rack := range racks {
+		if room[rack] >= len(s.waiting) && (best == "" || room[rack] < room[best]) {
+			best = rack
+		}
+	}
+	return best
+}
+
+// tasksOn returns how many tasks of a step have room on a target.
+func (p *Planner) tasksOn(s *step, t *target) int {
+	free, need := t.rec.Capacity.Minus(t.used), s.def.Charge()
+	n := len(s.waiting)
+	if s.def.MaxPerTarget > 0 {
+		n = min(n, s.def.MaxPerTarget-p.runsOf(s, t))
+	}
+	n = min(n, timesIn(free.CPU, need.CPU, n), timesIn(free.Memory, need.Memory, n), timesIn(free.Accelerators, need.Accelerators, n))
+	return max(n, 0)
+}
+
+// timesIn returns how many times a need goes into what is free, or otherwise when
+// there is no need.
+func timesIn[T registrar.MilliCPU | registrar.MiB | registrar.Accelerators](free, need T, otherwise int) int {
+	if need <= 0 {
+		return otherwise
+	}
+	return int(free / need)
+}
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -70,7 +70,10 @@
 	LateWindow  time.Duration // an order without an answer may be carried out this much later
 	Lease       time.Duration // of what a target runs, when it answers
 	FirstLease  time.Duration // of a start, unless the target's lease is longer
-	DriftShare  float64       // a target's clock may be slow by this share
+	// PreemptAfter is how long a step finds no room before less urgent runs are
+	// stopped for it; negative: never.
+	PreemptAfter time.Duration
+	DriftShare   float64 // a target's clock may be slow by this share
 }
 
 func (l *Limits) fill() {
@@ -83,6 +86,7 @@
 	setDefault(&l.OrderRetry, 100*time.Millisecond)  // the same
 	setDefault(&l.UnwellPause, 500*time.Millisecond) // a third of the time between announcements
 	setDefault(&l.GoneAfter, 30*time.Second)         // 20 announcements
+	setDefault(&l.PreemptAfter, -1)                  // a stop keeps room unused for StopTime; see docs/POLICIES.md
 	setDefault(&l.LateWindow, 13*time.Second)        // orders were seen to be carried out 12 s late
 	if l.DriftShare == 0 {
 		l.DriftShare = 0.02 // what targets state about their clocks
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -84,6 +84,9 @@
 		return
 	}
 	named := p.candidates(s, pl, tasks, now)
+	if len(named) == 0 {
+		named = p.preemptable(s, pl, tasks, now)
+	}
 	if len(named) == 0 {
 		return
 	}
@@ -121,8 +124,7 @@
 func (p *Planner) candidates(s *step, pl *pool, waiting int, now Moment) []tracker.TargetID {
 	var known, unknown []*target
 	for _, t := range pl.targets {
-		if !t.open(now) || !t.trusted(now) || s.def.Label != "" && !t.rec.HasLabel(s.def.Label) || !p.fits(s, t) || s.tickets[t.rec.ID].valid(now) ||
-			s.job.avoids(t, len(pl.targets), now) {
+		if !p.suits(s, t, now) || !p.fits(s, t) || s.tickets[t.rec.ID].valid(now) || s.job.avoids(t, len(pl.targets), now) {
 			continue
 		}
 		admitted, asked := s.admitted[t.rec.ID]
