--- /dev/null
+++ b/internal/workflow/tracker/tracker_test.go
@@ -0,0 +1,178 @@
+package tracker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/workflow/definer"
+	"masticroad/internal/workflow/tracker"
+)
+
+const pool = definer.PoolName("p")
+
+func begun() *tracker.State {
+	s := tracker.New()
+	s.ApplyEvent(tracker.Event{DocumentPut: &tracker.DocumentPut{Document: &definer.Document{
+		Version: 1, Pools: []definer.Pool{{Name: pool}}, Queues: []definer.Queue{{Name: "q", Pool: pool, MaxAttempts: 2}},
+	}}}, 1)
+	for _, id := range []tracker.TargetID{"t1", "t2"} {
+		s.ApplyEvent(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: tracker.Target{ID: id, Life: 1, Pool: pool}}}, 1)
+	}
+	return s
+}
+
+// event draws an event about two jobs, which may or may not fit the tables.
+func event(t *rapid.T) tracker.Event {
+	job := definer.JobID(rapid.IntRange(1, 2).Draw(t, "job"))
+	step := definer.StepID{Job: job, Step: rapid.IntRange(0, 2).Draw(t, "step")}
+	index := rapid.IntRange(0, 3).Draw(t, "index")
+	number := tracker.RunNumber(rapid.IntRange(1, 3).Draw(t, "number"))
+	target := rapid.SampledFrom([]tracker.TargetID{"t1", "t2", "t3"}).Draw(t, "target")
+	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	case 0:
+		return tracker.Event{JobAccepted: &tracker.JobAccepted{Queue: "q", Job: &definer.Job{ID: job, Steps: []definer.Step{
+			{Count: 3}, {Count: 2, Gang: true, DependsOn: []int{0}},
+		}}}}
+	case 1:
+		return tracker.Event{JobCancelled: &tracker.JobCancelled{Job: job}}
+	case 2:
+		return tracker.Event{OccurrenceBegun: &tracker.OccurrenceBegun{Job: job}}
+	case 3:
+		return tracker.Event{TargetGone: &tracker.TargetGone{Target: target}}
+	case 4:
+		return tracker.Event{JobsForgotten: &tracker.JobsForgotten{Before: registrar.Millis(rapid.IntRange(0, 100).Draw(t, "before"))}}
+	case 5:
+		return tracker.Event{WavePut: &tracker.WavePut{ID: 1, VMs: []tracker.VMID{"a", "b"}, Duration: time.Second, MaxDown: 1}}
+	case 6:
+		return tracker.Event{VMTaken: &tracker.VMTaken{Wave: 1, VM: "a"}}
+	case 7:
+		return tracker.Event{VMServiced: &tracker.VMServiced{Wave: 1, VM: "a"}}
+	case 8:
+		return tracker.Event{RunsStarted: &tracker.RunsStarted{Step: step, Number: number, Runs: []tracker.Placement{{Index: index, Target: target}}}}
+	}
+	how := rapid.SampledFrom([]tracker.End{tracker.EndDone, tracker.EndFailed, tracker.EndLost}).Draw(t, "how")
+	return tracker.Event{RunEnded: &tracker.RunEnded{Task: step.Task(index), Number: number, How: how, Checkpoint: "c"}}
+}
+
+// Whatever events come, the tables stay whole, and a snapshot, a copy and the
+// log give the same tables.
+func TestTablesFollowTheLog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		direct, logged := begun(), begun()
+		for n := range rapid.IntRange(1, 60).Draw(t, "events") {
+			ev := event(t)
+			at := registrar.Millis(n + 2)
+			data, err := (&tracker.Entry{At: at, Events: []tracker.Event{ev}}).Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := logged.Apply(registrar.Index(n+1), data); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := logged.Apply(registrar.Index(n+1), data); err != nil { // again: of no effect
+				t.Fatal(err)
+			}
+			direct.Applied, direct.Clock = registrar.Index(n+1), at
+			direct.ApplyEvent(ev, at)
+			check(t, logged)
+			if n%7 == 0 {
+				logged = restored(t, logged)
+			}
+		}
+		if a, b := encoded(t, direct), encoded(t, logged); string(a) != string(b) {
+			t.Fatalf("the tables differ:\n%x\n%x", a, b)
+		}
+		if a, b := encoded(t, logged), encoded(t, logged.Clone()); string(a) != string(b) {
+			t.Fatal("a copy differs")
+		}
+	})
+}
+
+func encoded(t *rapid.T, s *tracker.State) []byte {
+	data, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func restored(t *rapid.T, s *tracker.State) *tracker.State {
+	out := tracker.New()
+	if err := out.Restore(encoded(t, s)); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// check compares the counts in the tables with what they count.
+func check(t *rapid.T, s *tracker.State) {
+	for id, j := range s.Jobs {
+		runs := 0
+		for _, o := range j.Occurrences {
+			left := 0
+			for i := range o.Steps {
+				undone := 0
+				for k := range o.Steps[i].Tasks {
+					task := &o.Steps[i].Tasks[k]
+					runs += len(task.Runs)
+					if !task.Done {
+						undone++
+					}
+				}
+				if undone != o.Steps[i].Left {
+					t.Fatalf("job %s step %d: %d tasks are not done, counted %d", id, i, undone, o.Steps[i].Left)
+				}
+				if undone > 0 {
+					left++
+				}
+			}
+			if left != o.Left {
+				t.Fatalf("job %s: %d steps are not done, counted %d", id, left, o.Left)
+			}
+		}
+		if runs != j.Runs {
+			t.Fatalf("job %s has %d runs, counted %d", id, runs, j.Runs)
+		}
+		if j.State == tracker.Completed && j.Def != nil && j.Completed != j.Def.Occurrences() {
+			t.Fatalf("job %s is completed with %d occurrences", id, j.Completed)
+		}
+	}
+}
+
+func TestJobFailsWhenATaskHasFailedAsOftenAsAllowed(t *testing.T) {
+	c := quicktest.New(t)
+	s := begun()
+	s.ApplyEvent(tracker.Event{JobAccepted: &tracker.JobAccepted{Queue: "q", Job: &definer.Job{ID: 1, Steps: []definer.Step{{Count: 1}}}}}, 2)
+	s.ApplyEvent(tracker.Event{OccurrenceBegun: &tracker.OccurrenceBegun{Job: 1}}, 2)
+	step := definer.StepID{Job: 1}
+	for n := tracker.RunNumber(1); n <= 2; n++ {
+		c.Assert(s.Jobs[1].State.Ended(), quicktest.IsFalse)
+		s.ApplyEvent(tracker.Event{RunsStarted: &tracker.RunsStarted{Step: step, Number: n, Runs: []tracker.Placement{{Target: "t1"}}}}, 3)
+		s.ApplyEvent(tracker.Event{RunEnded: &tracker.RunEnded{Task: step.Task(0), Number: n, How: tracker.EndFailed}}, 4)
+	}
+	c.Assert(s.Jobs[1].State, quicktest.Equals, tracker.Failed)
+	c.Assert(s.Jobs[1].Def, quicktest.IsNil)
+}
+
+func FuzzDecodeEntry(f *testing.F) {
+	data, err := (&tracker.Entry{At: 1, Events: []tracker.Event{{JobCancelled: &tracker.JobCancelled{Job: 1}}}}).Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := tracker.DecodeEntry(data)
+		if err != nil {
+			return
+		}
+		if _, err := e.Encode(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func TestMain(m *testing.M) { rapidSeed(m) }
--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,66 @@
+// Package soak_test plays rehearsals with faults: daemons as processes, behind
+// relays, under load.
+package soak_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"masticroad/internal/load/rehearser"
+)
+
+// Seeds that have failed once stay here, with the cause.
+var regressions = []struct {
+	seed  int64
+	cause string
+}{}
+
+// seeds returns the seeds to play: those that failed once, two fixed ones, and
+// from MASTICROAD_SOAK_SEED on as many as MASTICROAD_SOAK_RUNS tells.
+func seeds() []int64 {
+	var out []int64
+	for _, r := range regressions {
+		out = append(out, r.seed)
+	}
+	runs, err := strconv.Atoi(os.Getenv("MASTICROAD_SOAK_RUNS"))
+	if err != nil {
+		return append(out, 1, 2)
+	}
+	first, err := strconv.ParseInt(os.Getenv("MASTICROAD_SOAK_SEED"), 10, 64)
+	if err != nil {
+		first = time.Now().Unix()
+	}
+	for n := range runs {
+		out = append(out, first+int64(n))
+	}
+	return out
+}
+
+func TestSoak(t *testing.T) {
+	c := quicktest.New(t)
+	program := filepath.Join(t.TempDir(), "masticroad")
+	build := exec.Command("go", "build", "-o", program, "masticroad/cmd/masticroad")
+	if out, err := build.CombinedOutput(); err != nil {
+		c.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, seed := range seeds() {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			c := quicktest.New(t)
+			r := &rehearser.Rehearsal{
+				Program: program, Folder: t.TempDir(), Faults: true, Seed: seed, Duration: 7 * time.Second, Trace: func(text string) { t.Log(text) },
+			}
+			report, err := r.Play(context.Background())
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(report.Problems, quicktest.HasLen, 0)
+			c.Assert(report.Done > 0, quicktest.IsTrue)
+		})
+	}
+}
