--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -66,6 +66,7 @@
 const (
 	maxNamed     = 100                    // targets in one call; the service takes no more
 	maxCalls     = 16                     // waiting calls through one daemon; the service takes 32
+	maxAskQueue  = 250 * time.Millisecond // declared time of the calls before; a leader that begins has few daemons at first
 	askMargin    = 250 * time.Millisecond // over the declared time: a dozen round trips between regions
 	askForget    = 10 * time.Second       // an answer that is later than this is of no use
 	askRetry     = 100 * time.Millisecond // pause after a call that failed
@@ -80,8 +81,8 @@
 		return
 	}
 	through := p.leastBusy(now)
-	if through == nil {
-		return
+	if through == nil || through.busyUntil.Sub(now.Steady) > maxAskQueue {
+		return // one of them will be free sooner than its last answer comes
 	}
 	named := p.candidates(s, pl, tasks, now)
 	if len(named) == 0 {
