--- a/Makefile
+++ b/Makefile
@@ -20,4 +20,4 @@
 	go test -run '^$$' -fuzz FuzzOpen -fuzztime 20s ./internal/state/storer
 
 docs:
-	go test -run TestDocs -update ./internal/cli/commander
+	go test ./internal/cli/commander -run TestDocs -update
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -33,9 +33,8 @@
 	// Look fills in what the target answered.
 	Look(ctx context.Context, o *planner.LookOrder, r *planner.LookReport) error
 	Ask(ctx context.Context, step definer.StepID, targets []tracker.TargetID) (admitted map[tracker.TargetID]string, busy bool, err error)
-	// ServiceVM takes a VM down for its upkeep; MoveVM moves it to a pool.
+	// ServiceVM takes a VM down for its upkeep.
 	ServiceVM(ctx context.Context, o *planner.VMOrder) (planner.VMRefusal, error)
-	MoveVM(ctx context.Context, o *planner.VMOrder) (planner.VMRefusal, error)
 	ListVMs(ctx context.Context) ([]planner.VM, error)
 }
 
@@ -159,11 +158,7 @@
 func (d *Dispatcher) orderVM(o *planner.VMOrder) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
-	order := d.Platform.ServiceVM
-	if o.Pool != "" {
-		order = d.Platform.MoveVM
-	}
-	refusal, err := order(ctx, o)
+	refusal, err := d.Platform.ServiceVM(ctx, o)
 	if err != nil {
 		d.Log.Warn("order about a vm has no answer", "vm", string(o.VM), "wave", int64(o.Wave), "error", err)
 	}
--- a/internal/daemon/runner/serve.go
+++ b/internal/daemon/runner/serve.go
@@ -8,9 +8,9 @@
 	"github.com/juju/errors"
 	"github.com/kataras/iris/v12"
 
+	"masticroad/internal/peer/balancer"
 	"masticroad/internal/peer/caller"
 	"masticroad/internal/peer/operator"
-	"masticroad/internal/peer/platform"
 	"masticroad/internal/peer/region"
 	"masticroad/internal/peer/replica"
 	"masticroad/internal/peer/target"
@@ -65,7 +65,7 @@
 		targets.Home = r.announceAtHome
 	}
 	targets.Routes(app)
-	p := &platform.Server{Ready: r.notReady, Metrics: r.metrics.Handler()}
+	p := &balancer.Server{Ready: r.notReady, Metrics: r.metrics.Handler()}
 	p.Routes(app)
 }
 
--- a/internal/peer/platform/server.go
+++ b/internal/peer/balancer/server.go
@@ -1,6 +1,6 @@
-// Package platform serves the platform's balancer and monitoring: liveness,
+// Package balancer serves the balancer and the monitoring before a daemon: liveness,
 // readiness and metrics.
-package platform
+package balancer
 
 import (
 	"net/http"
@@ -8,7 +8,7 @@
 	"github.com/kataras/iris/v12"
 )
 
-// Server serves the platform. The exported fields are set before Routes.
+// Server serves them. The exported fields are set before Routes.
 type Server struct {
 	// Ready returns an empty text, or why the daemon should get no requests.
 	Ready   func() string
@@ -29,5 +29,5 @@
 		return
 	}
 	ctx.StatusCode(http.StatusServiceUnavailable)
-	_, _ = ctx.WriteString(reason + "\n") // the platform may be gone
+	_, _ = ctx.WriteString(reason + "\n") // the caller may be gone
 }
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -188,12 +188,10 @@
 	Capacity registrar.Need
 }
 
-// VMOrder takes a VM down for its upkeep, or moves it to a pool when Pool is
-// set. All that runs on it ends at once.
+// VMOrder takes a VM down for its upkeep. All that runs on it ends at once.
 type VMOrder struct {
 	VM     tracker.VMID
 	Wave   tracker.WaveID
-	Pool   definer.PoolName
 	Holder string // name of the leader
 	Token  Token
 }
@@ -207,7 +205,7 @@
 	VMRefusedToken             // another leader has used a higher token
 	VMRefusedBusy              // the VM is not up, or leaves
 	VMRefusedWave              // the VM does not belong to the wave
-	VMRefusedUnknown           // there is no such VM, or it can't join the pool
+	VMRefusedUnknown           // there is no such VM
 	VMRefusedRate              // too many calls
 )
 
--- a/internal/workflow/planner/sharing.go
+++ b/internal/workflow/planner/sharing.go
@@ -9,7 +9,7 @@
 // since something else is the cause.
 
 // paces are the levels of throttling, in percent.
-var paces = []int{100, 50, 20, 0}
+var paces = [...]int{100, 50, 20, 0}
 
 const (
 	highTail      = 0.85                    // of the bound, from which what fills is throttled
@@ -30,7 +30,7 @@
 	level     int       // index in paces
 	changedAt time.Time // of the level
 	calmSince time.Time // zero: the tail is not low
-	badAt     [4]time.Time
+	badAt     [len(paces)]time.Time
 	haltedAt  time.Time
 	ordered   map[runKey]paceSent
 }
