Shorter limits for answers while answers are missing, and more patience with targets

Change: while answers are missing, a limit of 80 ms in place of 200 and 300, and four misses; what the leader itself notices late does not count as missing.

--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -40,17 +40,15 @@
 
 // Limits bound calls. Zero values take the defaults.
 type Limits struct {
-	Order time.Duration // an order without an answer counts as not answered
-	Look  time.Duration // the same for a look, over the time that it waits
-	Ask   time.Duration
-	VM    time.Duration // an order about a VM, or a list of them
+	Pace time.Duration // an order to throttle without an answer counts as not answered
+	Ask  time.Duration
+	VM   time.Duration // an order about a VM, or a list of them
 }
 
 const (
-	defaultOrder = 200 * time.Millisecond // ten round trips between regions; orders may be repeated
-	defaultLook  = 300 * time.Millisecond
-	defaultAsk   = 12 * time.Second        // the service may have many calls before this one
-	defaultVM    = 1500 * time.Millisecond // less than the pause after which the planner repeats it
+	defaultPace = 200 * time.Millisecond  // ten round trips between regions
+	defaultAsk  = 12 * time.Second        // the service may have many calls before this one
+	defaultVM   = 1500 * time.Millisecond // less than the pause after which the planner repeats it
 )
 
 // Dispatcher makes each call on a goroutine of its own. The exported fields are
@@ -69,11 +67,8 @@
 // Open sets the context in which calls are made.
 func (d *Dispatcher) Open(ctx context.Context) {
 	d.ctx = ctx
-	if d.Limits.Order == 0 {
-		d.Limits.Order = defaultOrder
-	}
-	if d.Limits.Look == 0 {
-		d.Limits.Look = defaultLook
+	if d.Limits.Pace == 0 {
+		d.Limits.Pace = defaultPace
 	}
 	if d.Limits.Ask == 0 {
 		d.Limits.Ask = defaultAsk
@@ -104,25 +99,25 @@
 }
 
 func (d *Dispatcher) start(o *planner.StartOrder) {
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number}
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Limit: o.Limit}
 	d.order("start", r, func(ctx context.Context) (Answer, error) { return d.Platform.Start(ctx, o) })
 	d.Report(r)
 }
 
 func (d *Dispatcher) stop(o *planner.StopOrder) {
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true}
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true, Limit: o.Limit}
 	d.order("stop", r, func(ctx context.Context) (Answer, error) { return d.Platform.Stop(ctx, o) })
 	d.Report(r)
 }
 
 // pace makes no report: the effect shows in the next look.
 func (d *Dispatcher) pace(o *planner.PaceOrder) {
-	d.order("pace", &planner.OrderReport{}, func(ctx context.Context) (Answer, error) { return d.Platform.Pace(ctx, o) })
+	d.order("pace", &planner.OrderReport{Limit: d.Limits.Pace}, func(ctx context.Context) (Answer, error) { return d.Platform.Pace(ctx, o) })
 }
 
 // order makes a call and fills in what became of it.
 func (d *Dispatcher) order(kind string, r *planner.OrderReport, call func(context.Context) (Answer, error)) {
-	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Order)
+	ctx, cancel := context.WithTimeout(d.ctx, r.Limit)
 	defer cancel()
 	r.Sent = d.Now()
 	answer, err := call(ctx)
@@ -145,9 +140,9 @@
 }
 
 func (d *Dispatcher) look(o *planner.LookOrder) {
-	ctx, cancel := context.WithTimeout(d.ctx, o.Wait+d.Limits.Look)
+	r := &planner.LookReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Sent: d.Now(), Limit: o.Wait + o.Limit}
+	ctx, cancel := context.WithTimeout(d.ctx, r.Limit)
 	defer cancel()
-	r := &planner.LookReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Sent: d.Now()}
 	err := d.Platform.Look(ctx, o, r)
 	r.Answered = err == nil
 	r.Received = d.Now()
--- a/internal/load/simulator/hosts.go
+++ b/internal/load/simulator/hosts.go
@@ -28,9 +28,7 @@
 	poolName      = definer.PoolName("arazo")
 	beatInterval  = 1500 * time.Millisecond
 	minWay        = 500 * time.Microsecond
-	maxWay        = 9 * time.Millisecond // between regions
-	orderTimeout  = 200 * time.Millisecond
-	lookTimeout   = 300 * time.Millisecond
+	maxWay        = 9 * time.Millisecond  // between regions
 	lookPoll      = 10 * time.Millisecond // between checks for an end
 	minLate       = 2 * time.Second       // of an order that is carried out late
 	maxLate       = 12 * time.Second
@@ -173,8 +171,8 @@
 
 func (s *Simulation) start(o *planner.StartOrder) {
 	sent := s.now
-	s.deliver(&o.To, orderTimeout, func(h *host) func() {
-		r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Sent: sent}
+	s.deliver(&o.To, o.Limit, func(h *host) func() {
+		r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Sent: sent, Limit: o.Limit}
 		if h != nil {
 			r.Answered = true
 			r.Refusal, r.Clock = h.target.Start(o, s.now)
@@ -186,8 +184,8 @@
 
 func (s *Simulation) stop(o *planner.StopOrder) {
 	sent := s.now
-	s.deliver(&o.To, orderTimeout, func(h *host) func() {
-		r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true, Sent: sent}
+	s.deliver(&o.To, o.Limit, func(h *host) func() {
+		r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true, Sent: sent, Limit: o.Limit}
 		if h != nil {
 			r.Answered = true
 			r.Refusal, r.Clock = h.target.Stop(o, s.now)
@@ -204,9 +202,10 @@
 			return
 		}
 		r.Target, r.Life, r.Token, r.Sent, r.Received = o.To.Target, o.To.Life, o.To.Token, sent, s.now
+		r.Limit = o.Wait + o.Limit
 		s.tell(func(p *planner.Planner, now planner.Moment) { p.Looked(r, now) })
 	}
-	miss := func() { s.in(o.Wait+lookTimeout, func() { report(&planner.LookReport{}) }) }
+	miss := func() { s.in(o.Wait+o.Limit, func() { report(&planner.LookReport{}) }) }
 	s.in(s.between(minWay, maxWay), func() {
 		h := s.byAddress(o.To.Address)
 		if h == nil || h.cut || h.target.Down() || s.lost() {
@@ -232,7 +231,7 @@
 		}
 		s.awaitEnd(h, t, s.now.Add(o.Wait), func(r *planner.LookReport) {
 			if r == nil || h.cut || s.lost() {
-				s.in(lookTimeout, func() { report(&planner.LookReport{}) })
+				s.in(o.Limit, func() { report(&planner.LookReport{}) })
 				return
 			}
 			s.in(s.between(minWay, maxWay), func() { report(r) })
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -46,6 +46,7 @@
 	Deadline   ClockMillis // end of the lease of all that the target runs
 	Checkpoint string
 	Ticket     string
+	Limit      time.Duration // without an answer within it the order counts as not answered
 }
 
 // StopOrder tells a target to stop a run.
@@ -53,6 +54,7 @@
 	To     Destination
 	Task   definer.TaskID
 	Number tracker.RunNumber
+	Limit  time.Duration
 }
 
 // PaceOrder throttles a run to a share of its speed.
@@ -70,6 +72,7 @@
 	Deadline ClockMillis // 0: the lease is not extended
 	Cursor   int64       // ends up to this number are recorded
 	Wait     time.Duration
+	Limit    time.Duration // over Wait
 }
 
 // Refusal tells why a target did not do what it was told.
@@ -107,7 +110,8 @@
 	Number   tracker.RunNumber
 	Stop     bool
 	Sent     time.Time // when the order was sent
-	Answered bool      // false: no response; the order may be carried out yet
+	Limit    time.Duration
+	Answered bool // false: no response; the order may be carried out yet
 	Refusal  Refusal
 	Clock    ClockMillis // of the response
 }
@@ -118,6 +122,7 @@
 	Life     tracker.Life // that the look was sent to
 	Token    Token        // that the look carried
 	Sent     time.Time
+	Limit    time.Duration // with the look's wait
 	Received time.Time
 	Answered bool
 	Refusal  Refusal
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -201,7 +201,8 @@
 }
 
 func (s *stage) outcome(o *planner.StartOrder, answered bool) *planner.OrderReport {
-	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Answered: answered}
+	r := &planner.OrderReport{Target: o.To.Target, Life: o.To.Life, Token: o.To.Token, Task: o.Task, Number: o.Number, Answered: answered,
+		Sent: s.now.Steady.Add(-o.Limit), Limit: o.Limit}
 	if answered {
 		r.Clock = s.clock(o.To.Target)
 	}
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -115,6 +115,7 @@
 	return &StartOrder{
 		To: p.destination(t), Task: r.key.task, Number: r.key.number, Spec: r.job.rec.Def.Spec,
 		Deadline: p.extend(t, p.Limits.FirstLease, now), Checkpoint: task.Checkpoint, Ticket: r.ticket,
+		Limit: p.answerLimit(now),
 	}
 }
 
@@ -130,7 +131,7 @@
 
 func (p *Planner) sendStop(r *run, now Moment) {
 	r.stopSentAt = now.Steady
-	p.after(Action{Stop: &StopOrder{To: p.destination(r.target), Task: r.key.task, Number: r.key.number}})
+	p.after(Action{Stop: &StopOrder{To: p.destination(r.target), Task: r.key.task, Number: r.key.number, Limit: p.answerLimit(now)}})
 }
 
 // Ordered takes in what became of an order to start or to stop.
@@ -176,7 +177,7 @@
 const rebornStep = time.Second // more than the time limit of an order
 
 func (p *Planner) unansweredOrder(t *target, r *run, o *OrderReport, now Moment) {
-	p.missed(t, now)
+	p.missed(t, now.Steady.Sub(o.Sent)-o.Limit, now)
 	if r == nil || r.stopping && !o.Stop {
 		return
 	}
@@ -310,7 +311,7 @@
 	t.strays[key] = need
 	t.used = t.used.Plus(need)
 	p.note("stray run", "task", key.task.String(), "run", int(key.number), "target", t.rec.ID)
-	p.after(Action{Stop: &StopOrder{To: p.destination(t), Task: key.task, Number: key.number}})
+	p.after(Action{Stop: &StopOrder{To: p.destination(t), Task: key.task, Number: key.number, Limit: p.answerLimit(now)}})
 }
 
 func (p *Planner) takeProgress(r *run, x *Running, report *LookReport, now Moment) {
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -63,6 +63,9 @@
 	LookWait    time.Duration // a look waits this long for an end
 	IdleWait    time.Duration // the same at a target that runs nothing
 	LossyWait   time.Duration // the same while answers are missing
+	Answer      time.Duration // an order without an answer within it is repeated
+	LookAnswer  time.Duration // the same for a look, over the time that it waits
+	LossyAnswer time.Duration // the same for both while answers are missing
 	LookRetry   time.Duration // pause after a look without an answer
 	OrderRetry  time.Duration // pause after an order without an answer
 	UnwellPause time.Duration // a target that says it is not well gets no work for this long
@@ -82,6 +85,9 @@
 	setDefault(&l.Lease, 6*time.Second)              // outlasts a loss of power of all replicas for 4 s
 	setDefault(&l.FirstLease, 2500*time.Millisecond) // outlasts an election by a second
 	setDefault(&l.LossyWait, 150*time.Millisecond)   // an end is noticed within half a second though a look is lost
+	setDefault(&l.Answer, 200*time.Millisecond)      // ten round trips between regions; orders may be repeated
+	setDefault(&l.LookAnswer, 300*time.Millisecond)  // the same, and lists are longer
+	setDefault(&l.LossyAnswer, 80*time.Millisecond)  // four round trips between regions
 	setDefault(&l.LookRetry, 150*time.Millisecond)   // ten round trips between regions
 	setDefault(&l.OrderRetry, 100*time.Millisecond)  // the same
 	setDefault(&l.UnwellPause, 500*time.Millisecond) // a third of the time between announcements
@@ -314,7 +320,10 @@
 // look orders the next look at a target.
 func (p *Planner) look(t *target, now Moment) {
 	t.looking = true
-	order := &LookOrder{To: p.destination(t), Cursor: t.seen, Wait: p.lookWait(t, now)}
+	order := &LookOrder{To: p.destination(t), Cursor: t.seen, Wait: p.lookWait(t, now), Limit: p.Limits.LookAnswer}
+	if p.lossy(now) {
+		order.Limit = p.Limits.LossyAnswer
+	}
 	if !t.fenced || t.failures > 0 {
 		order.Wait = 0
 	}
@@ -359,7 +368,7 @@
 	t.looking = false
 	if !r.Answered {
 		t.failures++ // a look waits long enough to count twice
-		p.missed(t, now)
+		p.missed(t, now.Steady.Sub(r.Sent)-r.Limit, now)
 		t.lookDue = now.Steady.Add(p.Limits.LookRetry)
 		return
 	}
@@ -388,16 +397,28 @@
 	t.takeClock(clock, received)
 }
 
-// missed notes a call without an answer. After two in a row the target gets no
-// new work until it answers again; a single one may have been lost.
-func (p *Planner) missed(t *target, now Moment) {
+// answerLimit returns how long an order may go without an answer.
+func (p *Planner) answerLimit(now Moment) time.Duration {
+	if p.lossy(now) {
+		return p.Limits.LossyAnswer
+	}
+	return p.Limits.Answer
+}
+
+// missed notes a call without an answer, that was noticed a time after its limit.
+// After some in a row the target gets no new work until it answers again; a
+// single one may have been lost. What a leader notices late says nothing about
+// the way to targets, since it may have been too busy to read the answer.
+func (p *Planner) missed(t *target, after time.Duration, now Moment) {
 	if now.Steady.Sub(p.missedAt) >= lossyTime {
 		p.misses = 0
 	}
-	p.misses++
-	p.missedAt = now.Steady
+	if after < busyDelay {
+		p.misses++
+		p.missedAt = now.Steady
+	}
 	t.failures++
-	if t.failures < missesInARow {
+	if t.failures < missesInARow || t.failures < lossyInARow && p.lossy(now) {
 		return
 	}
 	if t.answers {
@@ -406,7 +427,11 @@
 	t.answers = false
 }
 
-const missesInARow = 2 // calls without an answer
+const (
+	missesInARow = 2                     // calls without an answer
+	lossyInARow  = 4                     // the same while answers are missing everywhere
+	busyDelay    = 40 * time.Millisecond // eight rounds
+)
 
 func (p *Planner) lookRefused(t *target, r *LookReport, now Moment) {
 	t.lookDue = now.Steady.Add(p.Limits.LookRetry)
@@ -422,7 +447,7 @@
 		t.answers = false
 		t.lookDue = now.Steady.Add(p.Limits.IdleWait)
 	default:
-		p.missed(t, now)
+		p.missed(t, 0, now)
 	}
 }
 
