--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -234,7 +234,7 @@
 	for _, index := range s.waiting {
 		t := p.choose(s, pl, now)
 		if t == nil {
-			p.unreserve(runs)
+			p.unreserve(s, runs)
 			p.seekRoom(s, pl, len(s.waiting), now)
 			return
 		}
@@ -246,8 +246,11 @@
 }
 
 // unreserve takes back runs that were reserved but not decided.
-func (p *Planner) unreserve(runs []*run) {
+func (p *Planner) unreserve(s *step, runs []*run) {
 	for _, r := range runs {
+		if r.key.number > 1 {
+			s.reruns--
+		}
 		delete(r.target.runs, r.key)
 		delete(r.job.runs, r.key)
 		r.target.used = r.target.used.Minus(r.charge)
