Stop a gang that has lost a member; switch protections off to show that they are missed

Change: its gang is stopped at once. The test fails without it. The simulator counted the time after a weak target's fault had begun as calm; it does not while the fault goes on. Protections can be switched off in tests: without lease wait, stop charge, drain check, epochs and stray charge the checks notice.

--- a/internal/load/emulator/audit.go
+++ b/internal/load/emulator/audit.go
@@ -21,6 +21,7 @@
 type Audit struct {
 	Begun       time.Time
 	CancelTime  time.Duration // from the answer to a cancellation to the last start
+	DrainTime   time.Duration // from the answer to a target that leaves to the last start there; 0: not checked
 	EarlyMargin time.Duration // a start may come this much before its time
 	// Calm reports whether no fault has been near lately, so that gangs have no
 	// excuse.
@@ -125,6 +126,9 @@
 	if !j.cancelled.IsZero() && now.Sub(j.cancelled) > a.CancelTime {
 		a.problem(now, "%s was started %s after its job was cancelled", r.Key.Task, now.Sub(j.cancelled))
 	}
+	if at := r.target.DrainAcked; a.DrainTime > 0 && !at.IsZero() && now.Sub(at) > a.DrainTime {
+		a.problem(now, "%s was started on %s %s after its leaving was acknowledged", r.Key.Task, r.target.Record.ID, now.Sub(at))
+	}
 	if o.Spec != j.def.Spec {
 		a.problem(now, "%s was started with another spec", r.Key.Task)
 	}
--- a/internal/load/emulator/target.go
+++ b/internal/load/emulator/target.go
@@ -55,6 +55,8 @@
 	Rate   float64 // of its clock against true time
 	Limits Limits
 	World  *World
+	// DrainAcked is when it was told that its leaving is known; zero: it stays.
+	DrainAcked time.Time
 
 	begun    time.Time
 	down     bool
--- a/internal/load/simulator/faults.go
+++ b/internal/load/simulator/faults.go
@@ -117,7 +117,12 @@
 	s.faultAt = s.now
 	t := h.target
 	t.SetFaults([]emulator.Faults{{Slow: 6}, {FailAll: true}, {Hang: true}, {Unwell: true}}[s.rand.Intn(4)], s.now)
-	s.in(s.between(time.Second, 6*time.Second), func() { t.SetFaults(emulator.Faults{}, s.now); s.faultAt = s.now })
+	s.weak++
+	s.in(s.between(time.Second, 6*time.Second), func() {
+		s.weak--
+		t.SetFaults(emulator.Faults{}, s.now)
+		s.faultAt = s.now
+	})
 }
 
 // drain lets a target announce that it leaves, then replaces it.
@@ -131,8 +136,9 @@
 	h.sequence++
 	t.Record.Draining = true
 	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: 2500 * time.Millisecond}
-	s.tell(func(p *planner.Planner, now planner.Moment) { p.Announce(a, func() {}, now) })
-	s.in(s.between(2500*time.Millisecond, 5*time.Second), func() {
+	acknowledged := func() { t.DrainAcked = s.now }
+	s.tell(func(p *planner.Planner, now planner.Moment) { p.Announce(a, acknowledged, now) })
+	s.in(s.between(2500*time.Millisecond, 9*time.Second), func() {
 		if h.target != t || t.Down() {
 			return
 		}
--- a/internal/load/simulator/simulator.go
+++ b/internal/load/simulator/simulator.go
@@ -56,6 +56,7 @@
 	log       []logEntry // proposed and not applied
 	index     registrar.Index
 	faultAt   time.Time // of the newest fault
+	weak      int       // spells of slow, failing or hanging targets that go on
 	healed    bool
 	advisers  map[planner.AdviserID]time.Time // when each has answered all calls
 	document  *definer.Document
@@ -150,7 +151,7 @@
 	s.rand = rand.New(rand.NewSource(s.Seed))
 	s.begun = time.UnixMilli(1_800_000_000_000)
 	s.now = s.begun
-	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm}
+	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, DrainTime: drainTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm}
 	s.world = &emulator.World{Work: s.work, Audit: s.audit}
 	s.committed = tracker.New()
 	s.jobs = make(map[definer.JobID]*client)
@@ -338,14 +339,15 @@
 	return out
 }
 
-// calm reports whether no fault was near lately.
+// calm reports whether no fault goes on or was near lately.
 func (s *Simulation) calm(now time.Time) bool {
-	return s.faultAt.IsZero() || now.Sub(s.faultAt) > calmTime
+	return s.weak == 0 && (s.faultAt.IsZero() || now.Sub(s.faultAt) > calmTime)
 }
 
 const (
 	calmTime   = 3 * time.Second
 	cancelTime = 3 * time.Second
+	drainTime  = 2500 * time.Millisecond
 	advisers   = 5
 	replicas   = 2 // that may lead
 )
--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 
 	"masticroad/internal/load/simulator"
+	"masticroad/internal/workflow/planner"
 )
 
 const (
@@ -46,6 +47,37 @@
 	}
 }
 
+// The checks above must notice when a protection is switched off, under the
+// faults that it is there for.
+func TestSchedulesNoticeMissingProtections(t *testing.T) {
+	reborn := simulator.Faults{Lost: 0.03, Late: 0.15, Crash: 700 * time.Millisecond, SameID: true}
+	for name, x := range map[string]struct {
+		disabled planner.Mechanism
+		faults   simulator.Faults
+	}{
+		"lease wait":  {planner.WithoutLeaseWait, simulator.Rough},
+		"stop charge": {planner.WithoutStopCharge, simulator.Rough},
+		"drain check": {planner.WithoutDrainCheck, simulator.Rough},
+		"epochs":      {planner.WithoutEpochs, reborn},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range int64(maxUnnoticed) {
+				s := newSchedule(seed, x.faults)
+				s.Configure = func(p *planner.Planner) { p.Disabled = x.disabled }
+				s.Run(length)
+				if len(s.Result.Problems) > 0 {
+					t.Logf("seed %d: %s", seed, s.Result.Problems[0])
+					return
+				}
+			}
+			t.Fatalf("%d schedules without the %s passed", maxUnnoticed, name)
+		})
+	}
+}
+
+const maxUnnoticed = 300 // schedules
+
 func TestCalmDay(t *testing.T) {
 	c := quicktest.New(t)
 	s := play(2, simulator.Faults{})
--- a/internal/workflow/planner/place_test.go
+++ b/internal/workflow/planner/place_test.go
@@ -136,6 +136,16 @@
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 }
 
+// The test before must notice when strays take no room.
+func TestStraysWithoutAChargeAreNoticed(t *testing.T) {
+	c := quicktest.New(t)
+	s := newStage(c, 1)
+	s.p.Disabled = planner.WithoutStrayCharge
+	s.pass(time.Second)
+	s.answerLooks(row{target: "t1", task: definer.TaskID{Job: 77}, number: 3, percent: 10})
+	c.Assert(s.submit(1, oneTask(cpus(1))), quicktest.HasLen, 1)
+}
+
 func TestDrainingTargetGetsNoTask(t *testing.T) {
 	c := quicktest.New(t)
 	s := newStage(c, 2)
@@ -208,3 +218,27 @@
 	s.p.Cancel(host, prefix+id.String(), func(planner.Answer) {}, s.now)
 	s.plan()
 }
+
+// Members that wait for one that does not come would end alone, after seconds.
+func TestGangThatHasLostAMemberIsStopped(t *testing.T) {
+	c := quicktest.New(t)
+	for _, refusal := range []planner.Refusal{planner.RefusedTicket, planner.RefusedUnwell} {
+		s := newStage(c, 3)
+		starts := s.submit(1, definer.Step{Count: 3, Need: cpus(10), Estimate: time.Second, Gang: true})
+		c.Assert(starts, quicktest.HasLen, 3)
+		s.obey(starts[0])
+		s.obey(starts[1])
+		refused := s.outcome(starts[2], true)
+		refused.Refusal = refusal
+		s.p.Ordered(refused, s.now)
+		s.plan()
+		stopped := s.stops()
+		c.Assert(stopped, quicktest.HasLen, 2, quicktest.Commentf("%s", refusal))
+		s.answerLooks(row{target: stopped[0].To.Target, task: stopped[0].Task, number: 1, how: tracker.EndStopped},
+			row{target: stopped[1].To.Target, task: stopped[1].Task, number: 1, how: tracker.EndStopped})
+		s.pass(time.Second)
+		again := s.starts()
+		c.Assert(again, quicktest.HasLen, 3)
+		c.Assert(again[0].Number, quicktest.Equals, tracker.RunNumber(2))
+	}
+}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -42,6 +42,21 @@
 	UpkeepTime  time.Duration // a VM is down this long for its upkeep
 }
 
+// Mechanism is a set of protections.
+type Mechanism uint8
+
+// The protections that tests can switch off.
+const (
+	WithoutLeaseWait   Mechanism = 1 << iota // what a silent target runs is given up at once
+	WithoutEpochs                            // orders for an earlier life are not made void
+	WithoutTokenCheck                        // answers to an earlier leadership are taken
+	WithoutStrayCharge                       // runs that the tables don't have take no room
+	WithoutStopCharge                        // runs that are being stopped take no room
+	WithoutDrainCheck                        // targets that leave get work
+)
+
+func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
+
 // Settings bound what the planner does. Zero values take the defaults.
 type Settings struct {
 	Bounds
@@ -55,6 +70,7 @@
 	State    *tracker.State // with all events that were emitted, committed or not
 	Settings Settings
 	Limits   Limits
+	Disabled Mechanism // for tests that show that its absence is noticed
 
 	term     registrar.Term
 	targets  map[tracker.TargetID]*target
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -125,6 +125,10 @@
 		return
 	}
 	r.stopping, r.stopReason = true, reason
+	if p.without(WithoutStopCharge) {
+		r.target.used = r.target.used.Minus(r.charge)
+		r.charge = registrar.Need{}
+	}
 	p.Counters.Stopped++
 	p.sendStop(r, now)
 }
@@ -137,7 +141,7 @@
 // Ordered takes in what became of an order to start or to stop.
 func (p *Planner) Ordered(o *OrderReport, now Moment) {
 	t := p.targets[o.Target]
-	if t == nil || t.rec.Life != o.Life || o.Token != p.token(t) {
+	if t == nil || t.rec.Life != o.Life || !p.isCurrent(o.Token, t) {
 		return
 	}
 	r := t.runs[runKey{o.Task, o.Number}]
@@ -308,6 +312,9 @@
 	if t.strays == nil {
 		t.strays = make(map[runKey]registrar.Need)
 	}
+	if p.without(WithoutStrayCharge) {
+		need = registrar.Need{}
+	}
 	t.strays[key] = need
 	t.used = t.used.Plus(need)
 	p.note("stray run", "task", key.task.String(), "run", int(key.number), "target", t.rec.ID)
@@ -399,5 +406,18 @@
 			"stop", r.stopReason)
 	}
 	p.emit(tracker.Event{RunEnded: &tracker.RunEnded{Task: r.key.task, Number: r.key.number, How: how, Checkpoint: checkpoint}}, now)
+	if r.def.Gang && how != tracker.EndDone {
+		p.breakGang(r, now)
+	}
 	p.settleTask(r, how, now)
 }
+
+// breakGang stops the other members of a gang that has lost one: those that wait
+// for it would wait in vain.
+func (p *Planner) breakGang(r *run, now Moment) {
+	for _, x := range sortedRuns(r.job.runs) {
+		if x.key.task.Of() == r.key.task.Of() && x.key.number == r.key.number {
+			p.stop(x, "its gang has lost a member", now)
+		}
+	}
+}
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -33,18 +33,19 @@
 	leaseEnd time.Time   // nothing ordered so far runs after it, unless the lease is extended
 	deadline ClockMillis // newest end of the lease that was sent
 
-	looking   bool
-	lookDue   time.Time
-	failures  int // calls without an answer, in a row
-	seen      int64
-	heardAt   time.Time // of the newest announcement or answer
-	sequence  int64     // of the newest announcement
-	drainEnd  time.Time // it may end from then on
-	departed  time.Time // it said that it ends; zero: it did not
-	pauseTill time.Time // it gets no new work; it was not well
-	health    health
-	cordoned  bool // its VM is about to be taken down
-	sharing   sharing
+	looking     bool
+	lookDue     time.Time
+	failures    int // calls without an answer, in a row
+	seen        int64
+	heardAt     time.Time // of the newest announcement or answer
+	sequence    int64     // of the newest announcement
+	drainEnd    time.Time // it may end from then on
+	departed    time.Time // it said that it ends; zero: it did not
+	pauseTill   time.Time // it gets no new work; it was not well
+	health      health
+	ignoreDrain bool // a protection is switched off
+	cordoned    bool // its VM is about to be taken down
+	sharing     sharing
 }
 
 // pool is the set of targets that run the tasks of some queues.
@@ -195,7 +196,7 @@
 // addTarget begins to follow a target of the tables. Its lease may have been
 // extended by an earlier leader just now.
 func (p *Planner) addTarget(rec *tracker.Target, now Moment) *target {
-	t := &target{rec: rec, runs: make(map[runKey]*run), heardAt: now.Steady, lookDue: now.Steady}
+	t := &target{rec: rec, runs: make(map[runKey]*run), heardAt: now.Steady, lookDue: now.Steady, ignoreDrain: p.without(WithoutDrainCheck)}
 	t.leaseEnd = now.Steady.Add(p.slowed(p.Settings.MaxLease))
 	p.targets[rec.ID] = t
 	if id, ok := p.byAddr[rec.Address]; !ok || p.targets[id].rec.Life < rec.Life {
@@ -241,7 +242,9 @@
 // look tells.
 func (p *Planner) outlive(t *target, life tracker.Life, now Moment) {
 	p.note("target began a new life", "target", t.rec.ID, "life", int64(life), "before", int64(t.rec.Life), "runs", len(t.runs))
-	t.epoch++
+	if !p.without(WithoutEpochs) {
+		t.epoch++
+	}
 	t.fenced, t.answers, t.hasClock = false, false, false
 	t.seen, t.sequence, t.failures = 0, 0, 0
 	t.departed, t.drainEnd, t.pauseTill = time.Time{}, time.Time{}, time.Time{}
@@ -249,7 +252,7 @@
 	t.looking = false // the answer to a look at the earlier life is passed over
 	t.health, t.sharing, t.cordoned = health{}, sharing{}, false
 	for _, r := range t.sortedRuns() {
-		if r.maybeInNewLife(p.Limits.LateWindow, now) {
+		if r.maybeInNewLife(p.Limits.LateWindow, now) && !p.without(WithoutEpochs) {
 			r.state, r.listed = runInherited, false
 			continue
 		}
@@ -281,6 +284,12 @@
 	return Token(p.term)<<epochBits | Token(t.epoch)
 }
 
+// isCurrent reports whether a call with a token was ordered by this leadership,
+// for the target's present life.
+func (p *Planner) isCurrent(token Token, t *target) bool {
+	return token == p.token(t) || p.without(WithoutTokenCheck)
+}
+
 // extend returns an end of the lease that may be sent now, and notes until when
 // the target's runs may go on because of it.
 func (p *Planner) extend(t *target, lease time.Duration, now Moment) ClockMillis {
@@ -313,8 +322,8 @@
 
 // open reports whether a target may be given new work.
 func (t *target) open(now Moment) bool {
-	return t.fenced && t.answers && t.hasClock && !t.rec.Draining && !t.cordoned && t.departed.IsZero() &&
-		!now.Steady.Before(t.pauseTill)
+	leaves := t.rec.Draining && !t.ignoreDrain
+	return t.fenced && t.answers && t.hasClock && !leaves && !t.cordoned && t.departed.IsZero() && !now.Steady.Before(t.pauseTill)
 }
 
 // look orders the next look at a target.
@@ -360,7 +369,7 @@
 // Looked takes in what a target runs and what has ended there.
 func (p *Planner) Looked(r *LookReport, now Moment) {
 	t := p.targets[r.Target]
-	if t == nil || t.rec.Life != r.Life || r.Token != p.token(t) {
+	if t == nil || t.rec.Life != r.Life || !p.isCurrent(r.Token, t) {
 		// The target is gone, or has a new life that is looked at by itself, or the
 		// look was ordered by an earlier leadership of this replica.
 		return
@@ -464,7 +473,7 @@
 		if !t.departed.IsZero() && now.Steady.Sub(t.departed) > departTime {
 			p.loseRuns(t, "target departed", now)
 		}
-		if !t.answers && now.Steady.After(t.leaseEnd) && len(t.runs) > 0 {
+		if !t.answers && len(t.runs) > 0 && (now.Steady.After(t.leaseEnd) || p.without(WithoutLeaseWait)) {
 			p.loseRuns(t, "lease over", now)
 		}
 		if len(t.runs) == 0 && p.isGone(t, now) {
