--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -11,7 +11,7 @@
 // This file makes room for urgent work: runs of less urgent queues are stopped
 // when a step finds no room for a while. Those lose least that make checkpoints,
 // since a stop saves all they have done, and those that have only begun. Example:
-// a till's quote of 6 tasks waits while batches fill all targets; two batch tasks
+// an urgent step waits while batches fill all targets; two batch tasks
 // that save their work are stopped, and go on when there is room again.
 
 const (
