--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -305,6 +305,7 @@
 }
 
 func (c *Coordinator) round(now planner.Moment) {
+	begun := time.Now()
 	inputs := c.gathered
 	c.gathered = nil
 	for _, in := range inputs {
@@ -312,7 +313,7 @@
 	}
 	c.Planner.Plan(now)
 	round := c.Planner.Take()
-	c.measure(&round, now)
+	c.measure(&round, time.Since(begun), now)
 	c.Totals.Rounds.Add(1)
 	c.Totals.Inputs.Add(int64(len(inputs)))
 	c.logNotes(round.Notes, now)
@@ -334,11 +335,11 @@
 }
 
 // measure counts what a round has decided.
-func (c *Coordinator) measure(round *planner.Round, now planner.Moment) {
+func (c *Coordinator) measure(round *planner.Round, took time.Duration, now planner.Moment) {
 	if c.Meter == nil {
 		return
 	}
-	c.Meter.Round(c.Clock.Now().Steady.Sub(now.Steady))
+	c.Meter.Round(took)
 	for i := range round.Jobs {
 		c.Meter.Job(&round.Jobs[i])
 	}
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -56,7 +56,7 @@
 type Dispatcher struct {
 	Platform Platform
 	Log      hclog.Logger
-	Now      func() time.Time
+	Now      func() time.Time // a system call; times that only metrics need are taken without it
 	Report   func(report any)
 	Limits   Limits
 	Meter    *meter.Meter // nil: nothing is counted
@@ -120,15 +120,13 @@
 	ctx, cancel := context.WithTimeout(d.ctx, r.Limit)
 	defer cancel()
 	r.Sent = d.Now()
+	begun := time.Now()
 	answer, err := call(ctx)
 	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
-	d.count(kind, r.Answered, r.Refusal, r.Sent)
+	d.count(kind, r.Answered, r.Refusal, time.Since(begun))
 }
 
-func (d *Dispatcher) count(kind string, answered bool, refusal planner.Refusal, sent time.Time) {
-	if d.Meter == nil {
-		return
-	}
+func (d *Dispatcher) count(kind string, answered bool, refusal planner.Refusal, took time.Duration) {
 	outcome := "done"
 	switch {
 	case !answered:
@@ -136,7 +134,7 @@
 	case refusal != planner.NotRefused:
 		outcome = "refused " + refusal.String()
 	}
-	d.Meter.Order(kind, outcome, d.Now().Sub(sent))
+	d.Meter.Order(kind, outcome, took)
 }
 
 func (d *Dispatcher) look(o *planner.LookOrder) {
@@ -146,7 +144,7 @@
 	err := d.Platform.Look(ctx, o, r)
 	r.Answered = err == nil
 	r.Received = d.Now()
-	d.count("look", r.Answered, r.Refusal, r.Sent)
+	d.count("look", r.Answered, r.Refusal, r.Received.Sub(r.Sent))
 	d.Report(r)
 }
 
@@ -174,8 +172,8 @@
 func (d *Dispatcher) Ask(o *planner.AskOrder) *planner.AskReport {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Ask)
 	defer cancel()
-	sent := d.Now()
+	begun := time.Now()
 	admitted, busy, err := d.Platform.Ask(ctx, o.Step, o.Targets)
-	d.count("licence", err == nil && !busy, planner.NotRefused, sent)
+	d.count("licence", err == nil && !busy, planner.NotRefused, time.Since(begun))
 	return &planner.AskReport{ID: o.ID, Answered: err == nil && !busy, Busy: busy, Admitted: admitted}
 }
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -84,9 +84,9 @@
 // calls wait as long as an election takes; after that they are refused at once,
 // so that they come back when there may be one.
 func (r *Relayer) Do(ctx context.Context, call leader.Call) leader.Reply {
-	begun := r.Now()
+	begun := time.Now()
 	reply := r.do(ctx, call)
-	took := r.Now().Sub(begun)
+	took := time.Since(begun)
 	r.Meter.Call(call.Kind(), reply.Verdict.String(), took)
 	if reply.Verdict == planner.Uncertain || reply.Verdict == planner.NotReady {
 		r.logFailure(&call, &reply, took)
