--- a/platform/mimic/cell.go
+++ b/internal/load/mimic/cell.go
@@ -1,7 +1,6 @@
 package mimic
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -10,6 +9,7 @@
 	"time"
 
 	"masticroad/internal/load/emulator"
+	"masticroad/platform/codec"
 )
 
 // This file writes the settings of the daemons of a cell. Every daemon has an
@@ -44,7 +44,7 @@
 	Metrics   string
 	DataDir   string // empty: none
 
-	fields map[string]any
+	facts codec.NodeFacts
 }
 
 const (
@@ -87,20 +87,15 @@
 			node.Readiness = net.JoinHostPort(ip, strconv.Itoa(readinessPort))
 			listen["frontend"], listen["readiness"] = node.Frontend, node.Readiness
 		}
-		zone := names[n%len(names)]
-		node.fields = map[string]any{
-			"node-name": node.Name, "serves": []string{serves}, "ip": ip, "zone": zone, "region": c.zones[zone], "zones": c.zones, "listen": listen,
-			"internal-port-range": []int{firstInternal, lastInternal}, "bootstrap": true, "data-dir": nil, "advice": c.Licences,
-			"cloud-api": map[string]any{"address": c.Keeper}, "bounds": c.bounds(), "a-field-of-tomorrow": true,
-		}
-		if node.DataDir != "" {
-			node.fields["data-dir"] = node.DataDir
+		node.facts = codec.NodeFacts{
+			Name: node.Name, Serves: serves, IP: ip, Zone: names[n%len(names)], Zones: c.zones, Listen: listen, Ports: [2]int{firstInternal, lastInternal},
+			Found: true, DataDir: node.DataDir, Licences: c.Licences, Keeper: c.Keeper, Limits: c.Limits, Upkeep: c.Upkeep,
 		}
 		node.Settings = filepath.Join(c.Folder, node.Name+".json")
 		c.Nodes = append(c.Nodes, node)
 	}
 	for _, n := range c.Nodes {
-		n.fields["seeds"] = c.Seeds()
+		n.facts.Seeds = c.Seeds()
 		if err := n.save(); err != nil {
 			return err
 		}
@@ -108,17 +103,6 @@
 	return nil
 }
 
-// bounds returns what the daemons are told about targets.
-func (c *Cell) bounds() map[string]any {
-	return map[string]any{
-		"hold-max-ms": c.Limits.MaxLease.Milliseconds(), "stop-ms": c.Limits.StopTime.Milliseconds(), "gang-ms": c.Limits.GangTime.Milliseconds(),
-		"save-s": c.Limits.SaveEvery.Seconds(), "upkeep-s": c.Upkeep.Seconds(), "remote-factor": remoteFactor,
-	}
-}
-
-// remoteFactor is the run time of tasks away from their data, in multiples.
-const remoteFactor = 3
-
 // Seeds returns the control addresses that every daemon is told.
 func (c *Cell) Seeds() []string { return c.Controls()[:min(mostSeeds, c.Replicas)] }
 
@@ -146,7 +130,7 @@
 
 // Started makes the settings those of a later start: the cell has been founded.
 func (n *Node) Started() error {
-	n.fields["bootstrap"] = false
+	n.facts.Found = false
 	return n.save()
 }
 
@@ -163,7 +147,7 @@
 
 // save replaces the settings file, so that no daemon reads half of it.
 func (n *Node) save() error {
-	data, err := json.MarshalIndent(n.fields, "", "  ")
+	data, err := n.facts.Encode()
 	if err != nil {
 		return err
 	}
--- a/internal/load/rehearser/injector.go
+++ b/internal/load/rehearser/injector.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"masticroad/internal/load/emulator"
-	"masticroad/platform/mimic"
+	"masticroad/internal/load/mimic"
 )
 
 // This file lets things go wrong. Faults overlap, but of the daemons with a disk
--- a/internal/load/rehearser/process.go
+++ b/internal/load/rehearser/process.go
@@ -12,8 +12,8 @@
 	"syscall"
 	"time"
 
+	"masticroad/internal/load/mimic"
 	"masticroad/platform"
-	"masticroad/platform/mimic"
 )
 
 // This file holds the processes of daemons.
--- a/internal/load/rehearser/rehearser.go
+++ b/internal/load/rehearser/rehearser.go
@@ -20,9 +20,9 @@
 
 	"masticroad/internal/control/registrar"
 	"masticroad/internal/load/emulator"
+	"masticroad/internal/load/mimic"
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/tracker"
-	"masticroad/platform/mimic"
 )
 
 // This file is read first: it holds the run and its report. Example:
