--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -334,3 +334,71 @@
 	c.Assert(s.ends(7), quicktest.DeepEquals, []tracker.End{tracker.EndLost})
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 }
+
+// A job is cancelled while the order to start its task is under way. A look that
+// was sent before the target had stopped the run tells nothing about it.
+func TestLookFromBeforeTheStopSettlesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	s := newStage(c, 1)
+	s.pass(time.Second)
+	s.submit(7, oneTask(cpus(10))) // the order has no answer yet
+	s.p.Cancel(host, prefix+definer.JobID(7).String(), func(planner.Answer) {}, s.now)
+	s.plan()
+	stop := s.stops()[0]
+	s.pass(5 * time.Millisecond)
+	look := s.looks()[0]
+	early := s.report(look) // the target has neither order yet
+	s.pass(50 * time.Millisecond)
+	s.p.Ordered(&planner.OrderReport{
+		Target: stop.To.Target, Life: stop.To.Life, Token: stop.To.Token, Task: stop.Task, Number: stop.Number, Stop: true,
+		Sent: s.now.Steady, Limit: stop.Limit, Answered: true, Clock: s.clock(stop.To.Target),
+	}, s.now)
+	s.p.Looked(early, s.now)
+	s.plan()
+	c.Assert(s.ends(7), quicktest.HasLen, 0)
+	c.Assert(s.submit(8, oneTask(cpus(10))), quicktest.HasLen, 0, quicktest.Commentf("what is being stopped takes room"))
+}
+
+// The same when the order to start has no answer: the stop may have come first.
+func TestRunThatWasStoppedBeforeItBeganEndsByALaterLook(t *testing.T) {
+	c := quicktest.New(t)
+	s := newStage(c, 1)
+	s.pass(time.Second)
+	start := s.submit(7, oneTask(cpus(10)))[0]
+	s.p.Cancel(host, prefix+definer.JobID(7).String(), func(planner.Answer) {}, s.now)
+	s.plan()
+	stop := s.stops()[0]
+	s.ignore(start)
+	s.pass(5 * time.Millisecond)
+	early := s.report(s.looks()[0])
+	s.pass(50 * time.Millisecond)
+	s.p.Ordered(&planner.OrderReport{
+		Target: stop.To.Target, Life: stop.To.Life, Token: stop.To.Token, Task: stop.Task, Number: stop.Number, Stop: true,
+		Sent: s.now.Steady, Limit: stop.Limit, Answered: true, Clock: s.clock(stop.To.Target),
+	}, s.now)
+	s.p.Looked(early, s.now)
+	s.plan()
+	c.Assert(s.ends(7), quicktest.HasLen, 0)
+	s.pass(10 * time.Millisecond)
+	s.answerLooks()
+	c.Assert(s.ends(7), quicktest.DeepEquals, []tracker.End{tracker.EndRefused})
+}
+
+// An order to start got no answer, and its copy is refused as old: the first was
+// carried out and the run has ended. A look from before tells nothing about that.
+func TestLookFromBeforeTheRefusalSettlesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	s := newStage(c, 1)
+	s.pass(time.Second)
+	start := s.submit(7, oneTask(cpus(1)))[0]
+	s.pass(5 * time.Millisecond)
+	early := s.report(s.looks()[0])
+	s.pass(50 * time.Millisecond)
+	s.ignore(start)
+	refused := s.outcome(start, true)
+	refused.Refusal = planner.RefusedOld
+	s.p.Ordered(refused, s.now)
+	s.p.Looked(early, s.now)
+	s.plan()
+	c.Assert(s.ends(7), quicktest.HasLen, 0, quicktest.Commentf("its end is listed by a later look"))
+}
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -44,7 +44,8 @@
 	stopping   bool
 	stopReason string
 	stopSentAt time.Time
-	stopped    bool // the target answered the order to stop
+	stoppedAt  time.Time // when the target had answered an order to stop; zero: it has not
+	refusedAt  time.Time // when the target had refused an order to start as old
 	checkpoint string
 	percent    int
 	gauge      int
@@ -165,7 +166,7 @@
 		return
 	}
 	if o.Stop {
-		r.stopped = o.Refusal == NotRefused
+		r.takeStopAnswer(o, now)
 		return
 	}
 	p.takeStartAnswer(r, o, now)
@@ -210,6 +211,14 @@
 	}
 }
 
+// takeStopAnswer notes that a target has carried out an order to stop. Orders to
+// start the run that arrive later have no effect.
+func (r *run) takeStopAnswer(o *OrderReport, now Moment) {
+	if o.Refusal == NotRefused && r.stoppedAt.IsZero() {
+		r.stoppedAt = now.Steady
+	}
+}
+
 func (p *Planner) takeStartAnswer(r *run, o *OrderReport, now Moment) {
 	if o.Refusal == NotRefused {
 		p.started(r, now)
@@ -225,7 +234,7 @@
 		r.target.lookDue = now.Steady
 		return
 	case RefusedOld:
-		r.state = runRefused
+		r.state, r.refusedAt = runRefused, now.Steady
 		return
 	case RefusedTicket:
 		p.dropTicket(r)
@@ -335,7 +344,8 @@
 }
 
 // takeAbsence handles a run that its target does not list, neither as running
-// nor as ended.
+// nor as ended. A look tells only about what was settled when it was sent: an
+// order that was answered later may have been carried out after the look.
 func (p *Planner) takeAbsence(r *run, report *LookReport, now Moment) {
 	asked := report.Sent
 	switch r.state {
@@ -347,11 +357,11 @@
 		// The target has seen the present token, so older orders have no effect.
 		p.endRun(r, tracker.EndLost, r.checkpoint, "target did not start it", now)
 	case runRefused:
-		if r.sentAt.Before(asked) {
+		if r.refusedAt.Before(asked) {
 			p.endRun(r, tracker.EndRefused, r.checkpoint, "target refused it as old", now)
 		}
 	case runOrdered, runDoubtful:
-		if r.stopped && r.stopSentAt.Before(asked) {
+		if !r.stoppedAt.IsZero() && r.stoppedAt.Before(asked) {
 			p.endRun(r, tracker.EndRefused, r.checkpoint, "stopped before it began", now)
 		}
 	}
