--- a/internal/load/emulator/target.go
+++ b/internal/load/emulator/target.go
@@ -57,6 +57,8 @@
 	World  *World
 	// DrainAcked is when it was told that its leaving is known; zero: it stays.
 	DrainAcked time.Time
+	// Late is set while it carries out a call that was held up on its way.
+	Late bool
 
 	begun    time.Time
 	down     bool
--- a/internal/load/simulator/faults.go
+++ b/internal/load/simulator/faults.go
@@ -16,6 +16,7 @@
 	Late   float64       // share of calls that are carried out seconds late
 	Leader time.Duration // mean time between losses of the leader
 	Freeze time.Duration // mean time between freezes of the leader
+	Outage time.Duration // mean time between losses of power of all replicas
 	Crash  time.Duration // mean time between crashes of a target
 	Cut    time.Duration // mean time between cuts of a target
 	Slow   time.Duration // mean time between spells of a slow, failing or hanging target
@@ -33,6 +34,7 @@
 	f := &s.Faults
 	s.every(f.Leader, s.loseLeader)
 	s.every(f.Freeze, s.freezeLeader)
+	s.every(f.Outage, s.losePower)
 	s.every(f.Crash, func() { s.crash(s.anyHost()) })
 	s.every(f.Cut, func() { s.cutHost(s.anyHost()) })
 	s.every(f.Slow, func() { s.weaken(s.anyHost()) })
@@ -74,6 +76,19 @@
 	}
 }
 
+// losePower stops all replicas for a time. Leases of what runs lapse in the longer
+// outages, and targets come, go and crash unseen.
+func (s *Simulation) losePower() {
+	s.trace("all replicas lose power")
+	s.loseLeader()
+	s.elect(s.between(minOutage, maxOutage))
+}
+
+const (
+	minOutage = 500 * time.Millisecond
+	maxOutage = 12 * time.Second // longer than the longest lease
+)
+
 func (s *Simulation) crash(h *host) {
 	if h.target.Down() || h.gone {
 		return
--- a/internal/load/simulator/hosts.go
+++ b/internal/load/simulator/hosts.go
@@ -18,6 +18,7 @@
 type host struct {
 	target   *emulator.Target
 	address  string
+	number   int // its room and rack go by it and last for all its lives
 	sequence int64
 	cut      bool // no call reaches it, and no announcement comes
 	draining bool
@@ -43,19 +44,19 @@
 func (s *Simulation) addHost() {
 	n := s.hosts
 	s.hosts++
-	h := &host{address: fmt.Sprintf("10.1.0.%d:8080", n+1)}
+	h := &host{address: fmt.Sprintf("10.1.0.%d:8080", n+1), number: n}
 	s.targets = append(s.targets, h)
 	s.bear(h, tracker.TargetID(fmt.Sprintf("t%d", n+1)))
 }
 
-// bear begins a life at a host.
+// bear begins a life at a host. Its kind may be another one each time.
 func (s *Simulation) bear(h *host, id tracker.TargetID) {
-	n := int(h.address[len("10.1.0.")]) + len(s.byID)
-	size := sizes[n%kindsOfTarget]
+	size, rack := sizes[h.number%kindsOfTarget], fmt.Sprintf("r%d", h.number%racks)
+	kind := fmt.Sprintf("k%d", (h.number+len(s.byID))%2)
 	t := &emulator.Target{
 		Record: tracker.Target{
-			ID: id, Address: h.address, Zone: "a", Pool: poolName, Rack: fmt.Sprintf("r%d", n%racks),
-			Labels:   []string{fmt.Sprintf("k%d", n%2), fmt.Sprintf("r%d", n%racks)},
+			ID: id, Address: h.address, Zone: "a", Pool: poolName, Rack: rack,
+			Labels:   []string{kind, rack},
 			Capacity: registrar.Need{CPU: registrar.MilliCPU(16000 * size), Memory: registrar.MiB(32768 * size)},
 		},
 		Rate: 1 - clockDrift*s.rand.Float64(), Limits: limits, World: s.world,
@@ -128,7 +129,9 @@
 			t, life := h.target, h.target.Record.Life
 			s.in(s.between(minLate, maxLate), func() {
 				if !t.Down() && h.target == t && t.Record.Life == life {
+					t.Late = true
 					serve(h)
+					t.Late = false
 				}
 			})
 			missed(func() { s.miss(l, serve) })
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -117,7 +117,9 @@
 		p.loseRuns(p.targets[id], "replaced at its address", now)
 		p.removeTarget(p.targets[id], now)
 	}
-	p.emit(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: a.Target}}, now)
+	seen := a.Target
+	seen.Sequence = a.Sequence
+	p.emit(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: seen}}, now)
 	rec := p.State.Targets[a.Target.ID]
 	p.note("target seen", "target", rec.ID, "life", int64(rec.Life), "address", rec.Address, "pool", rec.Pool,
 		"zone", rec.Zone, "rack", rec.Rack, "draining", rec.Draining, "capacity", rec.Capacity.String())
@@ -149,7 +151,7 @@
 // addTarget begins to follow a target of the tables. Its lease may have been
 // extended by an earlier leader just now.
 func (p *Planner) addTarget(rec *tracker.Target, now Moment) *target {
-	t := &target{rec: rec, runs: make(map[runKey]*run), heardAt: now.Steady, lookDue: now.Steady, ignoreDrain: p.without(WithoutDrainCheck)}
+	t := &target{rec: rec, runs: make(map[runKey]*run), heardAt: now.Steady, lookDue: now.Steady, sequence: rec.Sequence, ignoreDrain: p.without(WithoutDrainCheck)}
 	t.leaseEnd = now.Steady.Add(p.slowed(p.Settings.MaxLease))
 	p.targets[rec.ID] = t
 	if id, ok := p.byAddr[rec.Address]; !ok || p.targets[id].rec.Life < rec.Life {
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -134,6 +134,9 @@
 	Draining bool                 `cbor:"11,keyasint,omitempty"` // it will leave and takes no new work
 	Region   registrar.RegionName `cbor:"12,keyasint,omitempty"`
 	VM       VMID                 `cbor:"13,keyasint,omitempty"` // that it lives on
+	// Sequence is the number of the announcement that this was taken from.
+	// Announcements of the same life up to it are outdated.
+	Sequence int64 `cbor:"14,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the target has a label.
