Short leases where nothing lasts, and known from the tables to a new leader

After a change of leader it was 10 s, since the new one did not know what had been granted. Change: 3 s, the longest lease only where a task that lasts runs; the tables keep which targets may have been granted that.

--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -66,14 +66,16 @@
 // faults that it is there for.
 func TestSchedulesNoticeMissingProtections(t *testing.T) {
 	reborn := simulator.Faults{Lost: 0.03, Late: 0.15, Crash: 700 * time.Millisecond, SameID: true}
+	cut := simulator.Faults{Leader: 2 * time.Second, Cut: 500 * time.Millisecond}
 	for name, x := range map[string]struct {
 		disabled planner.Mechanism
 		faults   simulator.Faults
 	}{
-		"lease wait":  {planner.WithoutLeaseWait, simulator.Rough},
-		"stop charge": {planner.WithoutStopCharge, simulator.Rough},
-		"drain check": {planner.WithoutDrainCheck, simulator.Rough},
-		"epochs":      {planner.WithoutEpochs, reborn},
+		"lease wait":   {planner.WithoutLeaseWait, simulator.Rough},
+		"stop charge":  {planner.WithoutStopCharge, simulator.Rough},
+		"drain check":  {planner.WithoutDrainCheck, simulator.Rough},
+		"epochs":       {planner.WithoutEpochs, reborn},
+		"lease record": {planner.WithoutLeaseRecord, cut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- /dev/null
+++ b/internal/workflow/planner/leases.go
@@ -0,0 +1,48 @@
+package planner
+
+import (
+	"time"
+
+	"masticroad/internal/workflow/tracker"
+)
+
+// This file decides how long what a target runs may go on without a word from
+// the leader. A long lease keeps it running while there is no leader; a short one
+// lets its tasks start elsewhere sooner when the target is lost. Tasks that last
+// gain most by a long one, others are done within the short one or go on from a
+// checkpoint. The tables tell which lease a target may have been granted, so that
+// a new leader need not wait for the longest. Example: a target that runs urgent
+// tasks alone crashes while a leader is elected; 3 s after it has begun the new
+// leader starts the tasks elsewhere.
+
+// leaseOf returns the lease for a target.
+func (p *Planner) leaseOf(t *target) time.Duration {
+	if t.rec.LongLease {
+		return p.Limits.LongLease
+	}
+	return p.Limits.ShortLease
+}
+
+// raiseLease records the lease that this leader grants, before it grants any.
+func (p *Planner) raiseLease(now Moment) {
+	if p.State.ShortLease < p.Limits.ShortLease {
+		p.emit(tracker.Event{LeaseRaised: &tracker.LeaseRaised{Short: p.Limits.ShortLease}}, now)
+	}
+}
+
+// grantedBefore returns the longest lease that earlier leaders may have granted
+// to a target.
+func (p *Planner) grantedBefore(rec *tracker.Target) time.Duration {
+	known := p.State.ShortLease > 0 && !rec.LongLease
+	if !known && !p.without(WithoutLeaseRecord) {
+		return p.Settings.MaxLease
+	}
+	return min(max(p.State.ShortLease, p.Limits.ShortLease), p.Settings.MaxLease)
+}
+
+// holdLease notes that what a target runs may go on for a time on its clock.
+func (p *Planner) holdLease(t *target, lease time.Duration, now Moment) {
+	if end := now.Steady.Add(p.slowed(lease)); end.After(t.leaseEnd) {
+		t.leaseEnd = end
+	}
+}
--- a/internal/workflow/planner/limits.go
+++ b/internal/workflow/planner/limits.go
@@ -18,7 +18,8 @@
 	UnwellPause time.Duration // a target that says it is not well gets no work for this long
 	GoneAfter   time.Duration // a silent target is forgotten
 	LateWindow  time.Duration // an order without an answer may be carried out this much later
-	Lease       time.Duration // of what a target runs, when it answers
+	ShortLease  time.Duration // of what a target runs, when it answers
+	LongLease   time.Duration // the same where a task that lasts runs
 	FirstLease  time.Duration // of a start, unless the target's lease is longer
 	// PreemptAfter is how long a step finds no room before less urgent runs are
 	// stopped for it; negative: never.
@@ -29,7 +30,8 @@
 func (l *Limits) fill() {
 	setDefault(&l.LookWait, 500*time.Millisecond)    // a target that is gone is noticed within a second
 	setDefault(&l.IdleWait, 700*time.Millisecond)    // the same
-	setDefault(&l.Lease, 6*time.Second)              // outlasts a loss of power of all replicas for 4 s
+	setDefault(&l.ShortLease, 3*time.Second)         // outlasts an election twice; a target that is lost holds its tasks for as long
+	setDefault(&l.LongLease, 10*time.Second)         // outlasts most losses of power of all replicas
 	setDefault(&l.FirstLease, 2500*time.Millisecond) // outlasts an election by a second
 	setDefault(&l.LossyWait, 150*time.Millisecond)   // an end is noticed within half a second though a look is lost
 	setDefault(&l.Answer, 200*time.Millisecond)      // ten round trips between regions; orders may be repeated
--- a/internal/workflow/planner/looks.go
+++ b/internal/workflow/planner/looks.go
@@ -18,7 +18,7 @@
 		order.Wait = 0
 	}
 	if t.failures == 0 {
-		order.Deadline = p.extend(t, p.Limits.Lease, now)
+		order.Deadline = p.extend(t, p.leaseOf(t), now)
 	} else {
 		// It may live another life, whose ends have numbers of their own.
 		order.Cursor = 0
@@ -131,6 +131,7 @@
 		p.note("target has another life", "target", t.rec.ID, "life", int64(r.Life), "found", int64(r.Found), "runs", len(t.runs))
 		if r.Found > r.Life {
 			t.answers, t.fenced = false, false
+			p.holdLease(t, p.Settings.MaxLease, now)
 			return
 		}
 		p.loseRuns(t, "another process at its address", now)
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -53,6 +53,7 @@
 	WithoutStrayCharge                       // runs that the tables don't have take no room
 	WithoutStopCharge                        // runs that are being stopped take no room
 	WithoutDrainCheck                        // targets that leave get work
+	WithoutLeaseRecord                       // a new leader takes all leases for short ones
 )
 
 func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
@@ -177,6 +178,7 @@
 			p.addJob(j, now)
 		}
 	}
+	p.raiseLease(now)
 	p.dirty = true
 }
 
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -119,6 +119,7 @@
 	}
 	seen := a.Target
 	seen.Sequence = a.Sequence
+	seen.LongLease = old != nil && old.rec.Life < a.Target.Life
 	p.emit(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: seen}}, now)
 	rec := p.State.Targets[a.Target.ID]
 	p.note("target seen", "target", rec.ID, "life", int64(rec.Life), "address", rec.Address, "pool", rec.Pool,
@@ -152,7 +153,7 @@
 // extended by an earlier leader just now.
 func (p *Planner) addTarget(rec *tracker.Target, now Moment) *target {
 	t := &target{rec: rec, runs: make(map[runKey]*run), heardAt: now.Steady, lookDue: now.Steady, sequence: rec.Sequence, ignoreDrain: p.without(WithoutDrainCheck)}
-	t.leaseEnd = now.Steady.Add(p.slowed(p.Settings.MaxLease))
+	p.holdLease(t, p.grantedBefore(rec), now)
 	p.targets[rec.ID] = t
 	if id, ok := p.byAddr[rec.Address]; !ok || p.targets[id].rec.Life < rec.Life {
 		p.byAddr[rec.Address] = rec.ID
@@ -203,6 +204,7 @@
 	t.fenced, t.answers, t.hasClock = false, false, false
 	t.seen, t.sequence, t.failures = 0, 0, 0
 	t.departed, t.drainEnd, t.pauseTill = time.Time{}, time.Time{}, time.Time{}
+	p.holdLease(t, p.Settings.MaxLease, now) // a late order holds until a time on the earlier life's clock
 	t.lookDue = now.Steady
 	t.looking = false // the answer to a look at the earlier life is passed over
 	t.health, t.sharing, t.cordoned = health{}, sharing{}, false
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -48,8 +48,7 @@
 	case ev.RunEnded != nil:
 		s.endRun(ev.RunEnded, at)
 	case ev.TargetSeen != nil:
-		t := ev.TargetSeen.Target
-		s.Targets[t.ID] = &t
+		s.seeTarget(ev.TargetSeen.Target)
 	case ev.TargetGone != nil:
 		delete(s.Targets, ev.TargetGone.Target)
 	case ev.JobsForgotten != nil:
@@ -62,9 +61,19 @@
 		s.takeVM(ev.VMTaken, at)
 	case ev.VMBack != nil:
 		s.returnVM(ev.VMBack)
+	case ev.LeaseRaised != nil:
+		s.ShortLease = max(s.ShortLease, ev.LeaseRaised.Short)
 	}
 }
 
+// seeTarget adds or replaces a target. What its life has been granted stays.
+func (s *State) seeTarget(t Target) {
+	if old := s.Targets[t.ID]; old != nil && old.Life == t.Life && old.LongLease {
+		t.LongLease = true
+	}
+	s.Targets[t.ID] = &t
+}
+
 func (s *State) putDocument(d *definer.Document) {
 	if s.Document != nil && d.Version <= s.Document.Version {
 		return
@@ -131,7 +140,7 @@
 
 func (s *State) startRuns(e *RunsStarted) {
 	j := s.Jobs[e.Step.Job]
-	_, step := s.StepOf(e.Step)
+	def, step := s.StepOf(e.Step)
 	if step == nil || j.State.Ended() {
 		return
 	}
@@ -140,6 +149,7 @@
 		if t == nil || p.Index >= len(step.Tasks) {
 			continue
 		}
+		t.LongLease = t.LongLease || def.Lasting
 		task := &step.Tasks[p.Index]
 		task.Started = max(task.Started, e.Number)
 		task.Runs = append(task.Runs, Run{e.Number, p.Target, t.Life})
@@ -270,7 +280,7 @@
 // Clone returns a copy that shares only what is never altered: declarations.
 func (s *State) Clone() *State {
 	c := New()
-	c.Applied, c.Clock, c.Document = s.Applied, s.Clock, s.Document
+	c.Applied, c.Clock, c.Document, c.ShortLease = s.Applied, s.Clock, s.Document, s.ShortLease
 	for id, j := range s.Jobs {
 		c.Jobs[id] = j.clone()
 	}
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -35,6 +36,7 @@
 	VMServiced      *VMServiced      `cbor:"11,keyasint,omitempty"`
 	VMTaken         *VMTaken         `cbor:"12,keyasint,omitempty"`
 	VMBack          *VMBack          `cbor:"13,keyasint,omitempty"`
+	LeaseRaised     *LeaseRaised     `cbor:"14,keyasint,omitempty"`
 }
 
 // DocumentPut puts a document in force.
@@ -120,6 +122,11 @@
 	Before registrar.Millis `cbor:"1,keyasint"`
 }
 
+// LeaseRaised tells which lease a leader grants to targets without LongLease.
+type LeaseRaised struct {
+	Short time.Duration `cbor:"1,keyasint"`
+}
+
 // Encode returns the bytes of e.
 func (e *Entry) Encode() ([]byte, error) { return cbor.Marshal(e) }
 
@@ -165,6 +172,8 @@
 		return "TargetSeen " + string(ev.TargetSeen.Target.ID)
 	case ev.TargetGone != nil:
 		return "TargetGone " + string(ev.TargetGone.Target)
+	case ev.LeaseRaised != nil:
+		return "LeaseRaised " + ev.LeaseRaised.Short.String()
 	}
 	return "Event"
 }
--- a/internal/workflow/tracker/snapshot.go
+++ b/internal/workflow/tracker/snapshot.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -22,6 +23,7 @@
 	Targets  []*Target         `cbor:"5,keyasint"`
 	Waves    []*Wave           `cbor:"6,keyasint,omitempty"`
 	Finished []definer.JobID   `cbor:"7,keyasint"`
+	Short    time.Duration     `cbor:"8,keyasint,omitempty"`
 }
 
 var encMode = mustEncMode()
@@ -36,7 +38,7 @@
 
 // Encode returns the bytes of the tables.
 func (s *State) Encode() ([]byte, error) {
-	snap := snapshot{Applied: s.Applied, Clock: s.Clock, Document: s.Document}
+	snap := snapshot{Applied: s.Applied, Clock: s.Clock, Document: s.Document, Short: s.ShortLease}
 	for _, j := range s.Jobs {
 		snap.Jobs = append(snap.Jobs, j)
 	}
@@ -62,7 +64,7 @@
 		return fmt.Errorf("restore snapshot: %w", err)
 	}
 	fresh := New()
-	fresh.Applied, fresh.Clock, fresh.Document = snap.Applied, snap.Clock, snap.Document
+	fresh.Applied, fresh.Clock, fresh.Document, fresh.ShortLease = snap.Applied, snap.Clock, snap.Document, snap.Short
 	for _, j := range snap.Jobs {
 		if j.Def != nil && j.Occurrences == nil {
 			j.Occurrences = make(map[int]*Occurrence)
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -5,6 +5,8 @@
 package tracker
 
 import (
+	"time"
+
 	"masticroad/internal/control/registrar"
 	"masticroad/internal/workflow/definer"
 )
@@ -32,6 +34,9 @@
 	Jobs     map[definer.JobID]*Job
 	Targets  map[TargetID]*Target
 	Waves    map[WaveID]*Wave
+	// ShortLease is the longest lease that any leader has granted to targets
+	// without LongLease; 0: not known.
+	ShortLease time.Duration
 
 	finished []finishedJob // in order of their end
 }
@@ -137,6 +142,10 @@
 	// Sequence is the number of the announcement that this was taken from.
 	// Announcements of the same life up to it are outdated.
 	Sequence int64 `cbor:"14,keyasint,omitempty"`
+	// LongLease is set when what this life runs may have been granted the longest
+	// lease: a task that lasts has run there, or an order to an earlier life may
+	// have reached it.
+	LongLease bool `cbor:"15,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the target has a label.
