A pass over the waiting steps looks at a full pool once

Change: steps that need tickets look at the targets that they have tickets for; a need that found no room is not tried again in a pass; targets to be named are scored once; no step asks when no daemon takes questions.

--- /dev/null
+++ b/internal/workflow/planner/bench_test.go
@@ -0,0 +1,92 @@
+package planner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"masticroad/internal/workflow/definer"
+	"masticroad/internal/workflow/planner"
+)
+
+// This file measures rounds of decisions at the size to design for.
+
+const (
+	manyTargets = 580
+	manyAsked   = 43 // daemons through which tickets are asked for
+)
+
+// crowd returns a leader with many targets and a number of steps of some tasks
+// each that wait: for tickets if the queue needs them, else for room.
+func crowd(b *testing.B, steps, tasks int, licensed bool) *stage {
+	s := newStage(quicktest.New(b), manyTargets)
+	q := definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second}
+	if licensed {
+		q.Licence = definer.Licence{Needed: true, Base: 28 * time.Millisecond, Each: 400 * time.Microsecond, Valid: 2 * time.Second}
+	}
+	s.put(q)
+	for i := range manyAsked {
+		s.p.AddAdviser(planner.AdviserID(fmt.Sprint("vm", i)), s.now)
+	}
+	if steps > 0 && !licensed {
+		for n := range manyTargets {
+			s.quietSubmit(definer.JobID(n+1), definer.Step{Count: 1, Need: cpus(15), Estimate: time.Minute})
+		}
+		s.plan()
+	}
+	for n := range steps {
+		s.quietSubmit(definer.JobID(10_000+n), definer.Step{Count: tasks, Need: cpus(2 + n%5), Estimate: time.Second})
+	}
+	s.plan()
+	s.orders = nil
+	return s
+}
+
+func (s *stage) quietSubmit(id definer.JobID, steps ...definer.Step) {
+	s.p.Submit(&planner.Submission{Host: host, Path: prefix + id.String(), Job: &definer.Job{ID: id, Spec: "spec", Steps: steps}},
+		func(planner.Answer) {}, s.now)
+}
+
+// BenchmarkRound measures a round in which a look at one target is answered and
+// one job is submitted while others wait.
+func BenchmarkRound(b *testing.B) {
+	for _, x := range []struct {
+		name         string
+		steps, tasks int
+		licensed     bool
+	}{
+		{"idle", 0, 0, false},
+		{"tickets=200x10", 200, 10, true},
+		{"room=200x10", 200, 10, false},
+		{"room=1000x10", 1000, 10, false},
+	} {
+		b.Run(x.name, func(b *testing.B) {
+			s := crowd(b, x.steps, x.tasks, x.licensed)
+			look := &planner.LookOrder{To: planner.Destination{Target: targetID(1), Life: 1, Token: 1 << 16}}
+			var took []time.Duration
+			id := definer.JobID(1 << 40)
+			for b.Loop() {
+				s.now.Steady = s.now.Steady.Add(5 * time.Millisecond)
+				s.now.Wall = s.now.Wall.Add(5 * time.Millisecond)
+				id++
+				begun := time.Now()
+				s.p.Looked(s.report(look), s.now)
+				s.quietSubmit(id, oneTask(cpus(2)))
+				s.p.Plan(s.now)
+				s.p.Take()
+				took = append(took, time.Since(begun))
+				s.p.Cancel(host, prefix+id.String(), func(planner.Answer) {}, s.now)
+			}
+			reportPercentiles(b, took)
+		})
+	}
+}
+
+func reportPercentiles(b *testing.B, took []time.Duration) {
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -39,6 +39,7 @@
 
 // place starts what has room.
 func (p *Planner) place(now Moment) {
+	p.beginPass()
 	for _, s := range p.turns(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
@@ -77,24 +78,31 @@
 		return
 	}
 	s.rack = p.confine(s, pl, now)
-	starts := make(map[tracker.RunNumber][]tracker.Placement)
-	var left []int
-	for n, index := range s.waiting {
-		t := p.choose(s, pl, now)
-		if t == nil {
-			left = append(left, s.waiting[n:]...)
-			break
-		}
-		p.reserve(s, index, t, starts, now)
+	if t := p.choose(s, pl, now); t != nil {
+		p.startOn(s, pl, t, now)
 	}
-	s.waiting = left
-	p.commitStarts(s, starts, now)
 	if len(s.waiting) > 0 {
 		p.seekRoom(s, pl, len(s.waiting), now)
 		p.preempt(s, pl, now)
 	}
 }
 
+// startOn starts the first waiting task of a step on a target, and the next ones as
+// far as there is room.
+func (p *Planner) startOn(s *step, pl *pool, t *target, now Moment) {
+	starts := make(map[tracker.RunNumber][]tracker.Placement)
+	n := 0
+	for t != nil {
+		p.reserve(s, s.waiting[n], t, starts, now)
+		if n++; n == len(s.waiting) {
+			break
+		}
+		t = p.choose(s, pl, now)
+	}
+	s.waiting = append([]int(nil), s.waiting[n:]...)
+	p.commitStarts(s, starts, now)
+}
+
 // reserve charges a target with the next run of a task. The event follows with
 // those of the step's other tasks.
 func (p *Planner) reserve(s *step, index int, t *target, starts map[tracker.RunNumber][]tracker.Placement, now Moment) {
@@ -141,17 +149,55 @@
 
 // chooseBut is choose for a task that must not run on a given target.
 func (p *Planner) chooseBut(s *step, pl *pool, not *target, now Moment) *target {
-	var best *target
-	var bestScore float64
-	for _, t := range pl.targets {
-		if t == not || !p.allowed(s, t, now) || !p.fits(s, t) || s.job.avoids(t, len(pl.targets), now) {
-			continue
+	if s.job.rec.Queue.Licence.Needed {
+		return p.chooseAdmitted(s, pl, not, now)
+	}
+	v := p.survey(pl, now)
+	if v.full(s.def.Charge()) {
+		return nil
+	}
+	b := best{}
+	for _, t := range v.open {
+		if t != not && p.mayRun(s, pl, t, now) {
+			b.offer(t, p.score(s, t, now))
 		}
-		if score := p.score(s, t, now); best == nil || score < bestScore {
-			best, bestScore = t, score
+	}
+	if b.target == nil && not == nil && s.isFree() {
+		v.failed = append(v.failed, s.def.Charge())
+	}
+	return b.target
+}
+
+// chooseAdmitted is chooseBut for a step that runs only where it has a ticket.
+func (p *Planner) chooseAdmitted(s *step, pl *pool, not *target, now Moment) *target {
+	b := best{}
+	for id, x := range s.tickets {
+		t := p.targets[id]
+		if !x.valid(now) || t == nil || t == not || t.rec.Pool != pl.name || !p.mayRun(s, pl, t, now) {
+			continue
 		}
+		b.offer(t, p.score(s, t, now))
+	}
+	return b.target
+}
+
+// mayRun reports whether one more task of a step may start on a target now, but
+// for a ticket.
+func (p *Planner) mayRun(s *step, pl *pool, t *target, now Moment) bool {
+	return p.suits(s, t, now) && p.fits(s, t) && !s.job.avoids(t, len(pl.targets), now)
+}
+
+// best keeps the target with the lowest score, of equal ones the one with the
+// lowest id.
+type best struct {
+	target *target
+	score  float64
+}
+
+func (b *best) offer(t *target, score float64) {
+	if b.target == nil || score < b.score || score == b.score && t.rec.ID < b.target.rec.ID {
+		b.target, b.score = t, score
 	}
-	return best
 }
 
 // allowed reports whether a step may run on a target at all, now.
@@ -235,6 +281,7 @@
 		t := p.choose(s, pl, now)
 		if t == nil {
 			p.unreserve(s, runs)
+			p.roomReturned(pl.name)
 			p.seekRoom(s, pl, len(s.waiting), now)
 			return
 		}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -86,7 +86,9 @@
 	biases   map[definer.QueueName]*bias
 	upkeep   upkeep
 	clashes  map[imagePair]time.Time
-	dirty    bool // something changed that placement depends on
+	surveys  map[definer.PoolName]*survey // of the present pass
+	asksFull bool                         // no daemon takes another question in this pass
+	dirty    bool                         // something changed that placement depends on
 	order    []*step
 	sweepAt  time.Time
 	misses   int       // calls without an answer, of late
@@ -166,6 +168,7 @@
 	p.biases = make(map[definer.QueueName]*bias)
 	p.upkeep = newUpkeep()
 	p.clashes = make(map[imagePair]time.Time)
+	p.surveys = make(map[definer.PoolName]*survey)
 	p.order = nil
 	p.round = Round{}
 	p.Counters = Counters{}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -67,10 +67,6 @@
 	if !p.isPressing(s, pl, now) {
 		return nil
 	}
-	type option struct {
-		id   tracker.TargetID
-		cost float64
-	}
 	var options []option
 	for _, t := range pl.targets {
 		admitted, asked := s.admitted[t.rec.ID]
@@ -81,13 +77,8 @@
 			options = append(options, option{t.rec.ID, cost})
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int { return cmp.Compare(a.cost, b.cost) })
-	options = options[:min(len(options), max(tasks*nearEnough, namedAtLeast), maxNamed)]
-	ids := make([]tracker.TargetID, len(options))
-	for i, o := range options {
-		ids[i] = o.id
-	}
-	return ids
+	slices.SortStableFunc(options, compareOptions)
+	return idsOf(options[:min(len(options), max(tasks*nearEnough, namedAtLeast), maxNamed)])
 }
 
 // cheapest returns the target on which room for one task of the step costs the
--- a/internal/workflow/planner/progress.go
+++ b/internal/workflow/planner/progress.go
@@ -78,6 +78,7 @@
 // elsewhere. How long a task takes differs between the tasks of a step, so a
 // slow run alone tells little; a target on which most runs are slow is slow.
 func (p *Planner) checkProgress(now Moment) {
+	p.beginPass()
 	speeds := make(map[*target]*speeds)
 	var steps []*step
 	for _, s := range p.order {
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -77,12 +77,13 @@
 
 // askTickets calls the service for a step that waits for tickets.
 func (p *Planner) askTickets(s *step, pl *pool, tasks int, now Moment) {
-	if s.asking != 0 || now.Steady.Before(s.askAfter) {
+	if s.asking != 0 || p.asksFull || now.Steady.Before(s.askAfter) {
 		return
 	}
 	through := p.leastBusy(now)
 	if through == nil || through.busyUntil.Sub(now.Steady) > maxAskQueue {
-		return // one of them will be free sooner than its last answer comes
+		p.asksFull = true // one of them will be free sooner than its last answer comes
+		return
 	}
 	named := p.candidates(s, pl, tasks, now)
 	if len(named) == 0 {
@@ -123,22 +124,21 @@
 // candidates returns the targets to name in a call: those with room whose
 // admission is known first, then those of which nothing is known.
 func (p *Planner) candidates(s *step, pl *pool, waiting int, now Moment) []tracker.TargetID {
-	var known, unknown []*target
-	for _, t := range pl.targets {
-		if !p.suits(s, t, now) || !p.fits(s, t) || s.tickets[t.rec.ID].valid(now) || s.job.avoids(t, len(pl.targets), now) {
+	var known, unknown []option
+	for _, t := range p.survey(pl, now).open {
+		admitted, asked := s.admitted[t.rec.ID]
+		if asked && !admitted || s.tickets[t.rec.ID].valid(now) || !p.mayRun(s, pl, t, now) {
 			continue
 		}
-		admitted, asked := s.admitted[t.rec.ID]
-		switch {
-		case admitted:
-			known = append(known, t)
-		case !asked:
-			unknown = append(unknown, t)
+		o := option{t.rec.ID, p.score(s, t, now)}
+		if admitted {
+			known = append(known, o)
+		} else {
+			unknown = append(unknown, o)
 		}
 	}
-	byScore := func(a, b *target) int { return cmp.Compare(p.score(s, a, now), p.score(s, b, now)) }
-	slices.SortStableFunc(known, byScore)
-	slices.SortStableFunc(unknown, byScore)
+	slices.SortStableFunc(known, compareOptions)
+	slices.SortStableFunc(unknown, compareOptions)
 	known = known[:min(len(known), waiting)]
 	missing := waiting - len(known)
 	n := 0
@@ -146,10 +146,21 @@
 		n = max(missing*nearEnough, namedAtLeast)
 	}
 	named := append(known, unknown[:min(len(unknown), n)]...)
-	named = named[:min(len(named), maxNamed)]
-	ids := make([]tracker.TargetID, len(named))
-	for i, t := range named {
-		ids[i] = t.rec.ID
+	return idsOf(named[:min(len(named), maxNamed)])
+}
+
+// option is a target that may be named in a call, the cheaper the better.
+type option struct {
+	id   tracker.TargetID
+	cost float64
+}
+
+func compareOptions(a, b option) int { return cmp.Compare(a.cost, b.cost) }
+
+func idsOf(options []option) []tracker.TargetID {
+	ids := make([]tracker.TargetID, len(options))
+	for i, o := range options {
+		ids[i] = o.id
 	}
 	return ids
 }
