Planner: log and count long-running tasks without a run

On-call engineers could not tell why a task of a long-running job had no run: whether the cell was full, whether the step waited for tickets, or whether its last run still counted because of its target's lease.

The leader now logs such steps every 2 s, with the number of targets that each condition of a placement leaves, and serves the longest outage as a metric. UntrackedTasks checks that each task of a started step has a run or waits for one; masticroad_tasks_untracked shows it once a second.

The wait of a task is counted from the last sign of life of its run.

--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -78,6 +78,10 @@
 	gauge("targets", "Targets, at the leader.", func(l *planner.Load) int { return l.Targets })
 	gauge("targets_silent", "Targets that do not answer, at the leader.", func(l *planner.Load) int { return l.Unresponsive })
 	gauge("targets_suspected", "Targets that get no new work for a time, at the leader.", func(l *planner.Load) int { return l.Quarantined })
+	gauge("tasks_untracked", "Tasks that neither have a run nor wait for one, at the leader. It should be 0.", func(l *planner.Load) int { return l.Untracked })
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "longest_outage_seconds", Help: "Longest time that a task of a long-running job has been without a run, at the leader.",
+	}, func() float64 { return m.load.Load().LongestOutage.Seconds() }))
 	gauge("licence_calls", "Calls of the licensing service without an answer, at the leader.", func(l *planner.Load) int { return l.TicketRequests })
 }
 
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -83,7 +83,8 @@
 	waitingSince   time.Time // when its dependencies were done
 	placedAt       time.Time // when the first run of a task was decided, for the newest such task
 	reruns         int       // runs beyond the first of each task
-	waiting        []int     // tasks that are not done and have no run
+	waiting        []waitingTask
+	waitLoggedAt   time.Time
 	admitted       map[tracker.TargetID]bool
 	tickets        map[tracker.TargetID]ticket
 	pendingRequest TicketRequestID // 0: none
@@ -181,7 +182,7 @@
 	s.latestStart = p.stepDeadline(j, id, now).Add(-j.criticalPaths[id.Step])
 	for i := range rec.Tasks {
 		if !rec.Tasks[i].Done && len(rec.Tasks[i].Runs) == 0 {
-			s.waiting = append(s.waiting, i)
+			s.addWaiting(i, now.Monotonic)
 		}
 	}
 	p.steps[id] = s
@@ -237,23 +238,13 @@
 	}
 	task := &s.rec.Tasks[r.key.task.Index]
 	if !task.Done && len(task.Runs) == 0 {
-		s.addWaiting(r.key.task.Index)
+		s.addWaiting(r.key.task.Index, r.lastSeen(how, now))
 	}
 	if task.Done {
 		p.stopTask(j, r.key.task, "another copy is done", now)
 	}
 }
 
-// addWaiting makes a task wait for capacity again.
-func (s *step) addWaiting(index int) {
-	for _, i := range s.waiting {
-		if i == index {
-			return
-		}
-	}
-	s.waiting = append(s.waiting, index)
-}
-
 // completeStep removes a step that is done and enqueues the steps that depend on it.
 func (p *Planner) completeStep(s *step, now Moment) {
 	p.dropStep(s)
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -93,13 +93,13 @@
 	starts := make(map[tracker.RunNumber][]tracker.Placement)
 	n := 0
 	for t != nil {
-		p.reserve(s, s.waiting[n], t, starts, now)
+		p.reserve(s, s.waiting[n].index, t, starts, now)
 		if n++; n == len(s.waiting) {
 			break
 		}
 		t = p.choose(s, pl, now)
 	}
-	s.waiting = append([]int(nil), s.waiting[n:]...)
+	s.waiting = slices.Clone(s.waiting[n:])
 	p.emitStarts(s, starts, now)
 }
 
@@ -278,8 +278,8 @@
 	number++
 	var runs []*run
 	var placed []tracker.Placement
-	slices.Sort(s.waiting)
-	for _, index := range s.waiting {
+	slices.SortFunc(s.waiting, func(a, b waitingTask) int { return cmp.Compare(a.index, b.index) })
+	for _, w := range s.waiting {
 		t := p.choose(s, pl, now)
 		if t == nil {
 			p.unreserve(s, runs)
@@ -287,8 +287,8 @@
 			p.findCapacity(s, pl, len(s.waiting), now)
 			return
 		}
-		runs = append(runs, p.reserveRun(s, index, number, t, now))
-		placed = append(placed, tracker.Placement{Index: index, Target: t.rec.ID})
+		runs = append(runs, p.reserveRun(s, w.index, number, t, now))
+		placed = append(placed, tracker.Placement{Index: w.index, Target: t.rec.ID})
 	}
 	s.waiting = nil
 	p.emitStarts(s, map[tracker.RunNumber][]tracker.Placement{number: placed}, now)
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -125,6 +125,10 @@
 // Load is the size of what a leader manages.
 type Load struct {
 	Waiting, Running, Jobs, Targets, Unresponsive, Quarantined, TicketRequests int
+	// LongestOutage is the longest time that a task of a long-running step has
+	// been without a run that is known to be alive.
+	LongestOutage time.Duration
+	Untracked     int // tasks of started steps that neither have a run nor wait for one
 }
 
 // Load counts tasks, runs, jobs, targets and ticket requests.
@@ -142,6 +146,8 @@
 			l.Quarantined++
 		}
 	}
+	l.LongestOutage = p.longestOutage(now)
+	l.Untracked = len(p.UntrackedTasks())
 	return l
 }
 
@@ -234,6 +240,7 @@
 		p.checkProgress(now)
 		p.checkWaves(now)
 	}
+	p.logOutages(now)
 	p.forgetEndedJobs(now)
 	p.dirty = true
 }
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -30,6 +30,7 @@
 	now           planner.Moment
 	events        []tracker.Event
 	orders        []planner.Action // not yet returned by take
+	records       []planner.LogRecord
 	clocks        map[tracker.TargetID]time.Time
 	announcements int64
 }
@@ -98,6 +99,7 @@
 	r := s.p.Take()
 	s.events = append(s.events, r.Events...)
 	s.orders = append(s.orders, r.Immediate...)
+	s.records = append(s.records, r.LogRecords...)
 	for _, a := range r.AfterCommit {
 		if a.Done != nil {
 			a.Done()
