Reproduce long-running tasks that stay without a run, failing

- The step has no ticket when there is room.
- After a quarantine a target gets one run at a time until one succeeds.
If that is a long-running one, the target gets no other work.
- A lost target's long lease is 10 s, and counts anew from the start of each leader; the bound is 9 s for the loss, the lease and the placement together.

--- a/internal/workflow/planner/lease_test.go
+++ b/internal/workflow/planner/lease_test.go
@@ -98,3 +98,39 @@
 	long := s.leaseSent(row{target: start.To.Target, task: start.Task, number: 1, percent: 100})
 	c.Assert(long > 9*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", long))
 }
+
+// maxTaskOutage is the time within which a long-running task that has lost its run
+// has to run again.
+const maxTaskOutage = 9 * time.Second
+
+// startLongRunning starts a long-running task that is ready.
+func (s *harness) startLongRunning() *planner.StartOrder {
+	start := s.submit(7, definer.Step{Count: 1, Need: cpus(1), LongRunning: true})[0]
+	s.acceptStart(start)
+	s.answerPolls(row{target: start.To.Target, task: start.Task, number: 1, percent: 100})
+	return start
+}
+
+// ticketTime is a bound on the time that the licensing service takes to answer a
+// request for a long-running task.
+const ticketTime = 1100 * time.Millisecond
+
+// A target with a long-running task stops answering and never comes back.
+func TestLongRunningTaskOfALostTargetRunsAgainInTime(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	took := s.timeUntilStartedElsewhere(s.startLongRunning())
+	c.Assert(took < maxTaskOutage-ticketTime, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+}
+
+// The leader is lost soon after the target. The next one has to wait for the longest
+// lease that may have been granted, but not for more.
+func TestNewLeaderRunsLongRunningTaskOfALostTargetAgainInTime(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	start := s.startLongRunning()
+	s.changeTerm(2)
+	took := s.timeUntilStartedElsewhere(start)
+	c.Assert(took < maxTaskOutage-ticketTime, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+	c.Assert(float64(took) > float64(s.p.Limits.LongLease)/(1-s.p.Limits.DriftShare), quicktest.IsTrue, quicktest.Commentf("after %s", took))
+}
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -1,12 +1,17 @@
 package planner_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/planner"
+	"masticroad/internal/workflow/tracker"
 )
 
 // This file tests what happens to long-running tasks that have no run.
@@ -48,3 +53,192 @@
 	c.Assert(s.p.Load(s.now).LongestOutage, quicktest.Equals, 4900*time.Millisecond)
 	c.Assert(s.p.UntrackedTasks(), quicktest.HasLen, 0)
 }
+
+// busyCell lets started runs end after a time, and answers ticket requests as a
+// licensing service that admits every target.
+type busyCell struct {
+	*harness
+	runTime time.Duration // of tasks that are not long-running
+	running []startedRun
+	asked   []pendingTickets
+}
+
+type startedRun struct {
+	row
+	lasts bool
+	endAt time.Time
+}
+
+type pendingTickets struct {
+	request  *planner.TicketRequest
+	answerAt time.Time
+}
+
+// step advances the cell by 50 ms and returns the orders to start of that time.
+func (b *busyCell) step() []*planner.StartOrder {
+	b.advance(50 * time.Millisecond)
+	now := b.now.Monotonic
+	for _, a := range b.take(func(a planner.Action) bool { return a.TicketRequest != nil }) {
+		licence := b.p.State.Jobs[a.TicketRequest.Step.Job].Queue.Licence
+		latency := licence.BaseLatency + time.Duration(len(a.TicketRequest.Targets))*licence.LatencyPerTarget
+		b.asked = append(b.asked, pendingTickets{a.TicketRequest, now.Add(latency)})
+	}
+	b.asked = slices.DeleteFunc(b.asked, func(x pendingTickets) bool {
+		if now.Before(x.answerAt) {
+			return false
+		}
+		r := &planner.TicketReport{ID: x.request.ID, Answered: true, Admitted: make(map[tracker.TargetID]string)}
+		for _, id := range x.request.Targets {
+			r.Admitted[id] = "ticket"
+		}
+		b.p.TicketsReported(r, b.now)
+		return true
+	})
+	b.plan()
+	starts := b.starts()
+	for _, o := range starts {
+		def, _ := b.p.State.LookupTask(o.Task)
+		b.running = append(b.running, startedRun{row{target: o.To.Target, task: o.Task, number: o.Number, percent: 100}, def.LongRunning, now.Add(b.runTime)})
+		b.acceptStart(o)
+	}
+	b.report()
+	return starts
+}
+
+// report answers the polls; ended runs are listed once.
+func (b *busyCell) report() {
+	for _, o := range b.polls() {
+		var rows []row
+		b.running = slices.DeleteFunc(b.running, func(x startedRun) bool {
+			if x.target != o.To.Target {
+				return false
+			}
+			if !x.lasts && !b.now.Monotonic.Before(x.endAt) {
+				x.how = tracker.EndDone
+			}
+			rows = append(rows, x.row)
+			return x.how != 0
+		})
+		b.answerPoll(o, rows...)
+	}
+}
+
+// until steps the cell until a task is started, and returns how long that takes; at
+// most limit.
+func (b *busyCell) until(task definer.TaskID, limit time.Duration) time.Duration {
+	begun := b.now.Monotonic
+	for b.now.Monotonic.Sub(begun) < limit {
+		for _, o := range b.step() {
+			if o.Task == task {
+				return b.now.Monotonic.Sub(begun)
+			}
+		}
+	}
+	return limit
+}
+
+// fail ends a run as failed.
+func (b *busyCell) fail(task definer.TaskID) {
+	for i := range b.running {
+		if b.running[i].task == task {
+			b.running[i].how = tracker.EndFailed
+		}
+	}
+}
+
+// licences of the queues of long-running and of other jobs; the service takes
+// longer for the former.
+var (
+	slowLicence  = definer.Licence{Required: true, BaseLatency: 450 * time.Millisecond, LatencyPerTarget: 6500 * time.Microsecond, TicketValidity: 2250 * time.Millisecond}
+	quickLicence = definer.Licence{Required: true, BaseLatency: 28 * time.Millisecond, LatencyPerTarget: 400 * time.Microsecond, TicketValidity: 2250 * time.Millisecond}
+)
+
+// maxOutage is the time in which a long-running task that has lost its run has to
+// run again once the loss is known: 9 s, less the longest lease of a lost target.
+const maxOutage = 9*time.Second - 6500*time.Millisecond
+
+// newBusyCell returns a cell that is full of tasks of another queue, of which many
+// more wait, and a long-running task that runs in it.
+func newBusyCell(c *quicktest.C, own, other int, need registrar.Need, licensed bool) (*busyCell, definer.TaskID) {
+	b := &busyCell{harness: newHarness(c, 40), runTime: 6 * time.Second}
+	b.putTwoQueues(own, other)
+	d := *b.p.State.Document
+	d.Version++
+	d.Queues = slices.Clone(d.Queues)
+	if licensed {
+		d.Queues[0].Licence, d.Queues[1].Licence = slowLicence, quickLicence
+	}
+	b.p.Put(&d, func() {}, b.now)
+	for i := range 20 {
+		b.p.AddLicenceProxy(planner.LicenceProxyID(fmt.Sprint("vm", i)), b.now)
+	}
+	b.submitUnchecked(1, definer.Step{Count: 1, Need: need, LongRunning: true})
+	task := definer.TaskID{Job: 1}
+	c.Assert(b.until(task, 3*time.Second) < 3*time.Second, quicktest.IsTrue)
+	for i := range 100 {
+		for range 2 { // the runs end at different times
+			b.step()
+		}
+		id := definer.JobID(100 + i)
+		b.p.Submit(&planner.Submission{Host: host, Path: "/queue2/" + id.String(), Job: &definer.Job{
+			ID: id, Spec: "spec", Steps: []definer.Step{{Count: 10, Need: cpus(4), Estimate: time.Second}},
+		}}, func(planner.Answer) {}, b.now)
+	}
+	return b, task
+}
+
+// A long-running task loses its run while the cell is full and tasks of another
+// queue wait that hold tickets for most targets.
+func TestLongRunningTaskThatLostItsRunDoesNotWaitForTheBacklog(t *testing.T) {
+	for _, x := range []struct {
+		name       string
+		own, other int // priorities
+		need       registrar.Need
+		licensed   bool
+	}{
+		{"tickets, lower priority", 1, 2, cpus(4), true},
+		{"tickets, higher priority", 1, 0, cpus(4), true},
+		{"tickets, large need", 1, 2, cpus(7), true},
+		{"no tickets, higher priority", 1, 0, cpus(4), false},
+		{"no tickets, large need", 1, 0, cpus(7), false},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			b, task := newBusyCell(c, x.own, x.other, x.need, x.licensed)
+			b.fail(task)
+			took := b.until(task, 12*time.Second)
+			c.Assert(took < maxOutage, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+		})
+	}
+}
+
+// Runs of two jobs fail on a target, which is quarantined. The single run that it
+// gets afterwards is a long-running one, which never ends by success.
+func TestTargetTakesWorkAgainOnceALongRunningTaskIsReadyThere(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	s.submit(1, oneTask(cpus(16))) // on one target
+	target := tracker.TargetID("t2")
+	for id := definer.JobID(2); id <= 3; id++ {
+		o := s.submit(id, oneTask(cpus(1)))
+		c.Assert(o, quicktest.HasLen, 1)
+		target = o[0].To.Target
+		s.acceptStart(o[0])
+		s.advance(50 * time.Millisecond)
+		s.answerPolls(row{target: target, task: o[0].Task, number: 1, how: tracker.EndFailed})
+		s.cancel(id)
+		s.starts()
+	}
+	c.Assert(s.recordsOf("target suspected"), quicktest.HasLen, 1)
+	s.submit(4, definer.Step{Count: 1, Need: cpus(1), LongRunning: true})
+	s.advance(time.Second)
+	trial := s.starts()
+	c.Assert(trial, quicktest.HasLen, 1)
+	s.acceptStart(trial[0])
+	s.answerPolls(row{target: target, task: trial[0].Task, number: 1, percent: 50})
+	c.Assert(s.submit(5, oneTask(cpus(1))), quicktest.HasLen, 0, quicktest.Commentf("the trial run is not ready"))
+	s.advance(time.Second)
+	s.answerPolls(row{target: target, task: trial[0].Task, number: 1, percent: 100})
+	s.advance(50 * time.Millisecond)
+	c.Assert(s.starts(), quicktest.HasLen, 1)
+}
