Planner: end the trial of a target once a long-running task is ready there

Callers saw long-running tasks, and others, wait although targets had room: after two failures in a row a target gets one run at a time until one is done. A long-running run never is, so that a target whose trial run was a long-running one got no other work until that run ended.

A long-running task that becomes ready now counts as a success, as the end of another task does: the target has shown that it can start and run work.

--- a/internal/workflow/planner/health.go
+++ b/internal/workflow/planner/health.go
@@ -37,13 +37,19 @@
 	h := &r.target.health
 	switch how {
 	case tracker.EndDone:
-		h.consecutiveFailures, h.pause = 0, 0
-		h.quarantinedUntil = time.Time{}
+		h.recordSuccess()
 	case tracker.EndFailed:
 		p.recordFailure(r, now)
 	}
 }
 
+// recordSuccess ends the trial of a target: a run has succeeded there, or a
+// long-running task has become ready.
+func (h *health) recordSuccess() {
+	h.consecutiveFailures, h.pause = 0, 0
+	h.quarantinedUntil = time.Time{}
+}
+
 // recordFailure counts a failed end against the target, unless the job has failed
 // on so many targets that the job itself is the likely cause.
 func (p *Planner) recordFailure(r *run, now Moment) {
@@ -88,7 +94,7 @@
 }
 
 // passesHealthCheck reports whether the health of a target allows another run.
-// After a quarantine it gets one run at a time until one is done.
+// After a quarantine it gets one run at a time until one succeeds.
 func (t *target) passesHealthCheck(now Moment) bool {
 	h := &t.health
 	if now.Monotonic.Before(h.quarantinedUntil) {
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -341,8 +341,9 @@
 		r.progressedAt = report.Received
 	}
 	r.percent, r.sample, r.sampledAt = x.Percent, x.Sample, report.Received
-	if r.def.LongRunning && x.Percent >= fullPace {
+	if r.def.LongRunning && x.Percent >= fullPace && !r.ready {
 		r.ready = true
+		r.target.health.recordSuccess()
 	}
 }
 
