Planner: shorten the long lease to 6.5 s, and record it for later leaders

Callers saw tasks of long-running jobs without a run for over 9 s although there was room for them, on cells that were not busy: the target had crashed and stayed away, and the leader had to wait for its lease of 10 s (10.2 s with the drift of the target's clock). A new leader waited for the longest lease that the cell allows, counted from its own start, since the state did not say how long the long lease is.

The long lease is now 6.5 s, which leaves 2.4 s of the 9 s for the placement and still covers a power failure of all replicas for 5 s with an election. It is in the replicated state, so that a new leader waits for it and not for the longest possible one. A lower value is recorded only once everything that leaders with a higher one granted has expired.

--- a/internal/workflow/planner/leases.go
+++ b/internal/workflow/planner/leases.go
@@ -10,7 +10,8 @@
 // the leader. A long lease keeps them running while there is no leader; a short
 // one lets their tasks start elsewhere sooner when the target is lost.
 // Long-running tasks benefit most from a long lease; others finish within the
-// short one or continue from a checkpoint. The replicated state holds which lease
+// short one or continue from a checkpoint. A long-running task of a lost target has
+// to run again within 9 s, of which the long lease leaves a part for its placement. The replicated state holds which lease
 // a target may have been granted, so that a new leader doesn't have to wait for
 // the longest: if a target without long-running tasks crashes during an election,
 // its tasks start elsewhere 3 s after the new leader has started.
@@ -18,27 +19,39 @@
 // leaseFor returns the length of the lease to grant to a target.
 func (p *Planner) leaseFor(t *target) time.Duration {
 	if t.rec.LongLease {
-		return p.Limits.LongLease
+		return p.longLease()
 	}
 	return p.Limits.ShortLease
 }
 
-// recordShortLease records the short lease of this leader in the replicated
-// state before any lease is granted.
-func (p *Planner) recordShortLease(now Moment) {
-	if p.State.ShortLease < p.Limits.ShortLease {
-		p.emit(tracker.Event{LeaseRaised: &tracker.LeaseRaised{Short: p.Limits.ShortLease}}, now)
+// recordLeases records the leases of this leader in the replicated state. Higher
+// ones are recorded before any lease is granted; a lower long lease is recorded
+// once everything that earlier leaders granted has expired.
+func (p *Planner) recordLeases(now Moment) {
+	ev := tracker.LeaseRaised{Short: p.Limits.ShortLease}
+	known, own := p.State.LongLease, p.longLease()
+	expired := len(p.State.Targets) == 0 || now.Monotonic.Sub(p.begunAt) > p.maxElapsed(p.Settings.MaxLease)
+	if known > 0 && known < own || known != own && expired {
+		ev.Long = own
+	}
+	if p.State.ShortLease < ev.Short || ev.Long > 0 {
+		p.emit(tracker.Event{LeaseRaised: &ev}, now)
 	}
 }
 
+func (p *Planner) longLease() time.Duration { return min(p.Limits.LongLease, p.Settings.MaxLease) }
+
 // maxEarlierLease returns the longest lease that earlier leaders may have granted
-// to a target. It is MaxLease unless the state rules out a long lease.
+// to a target. It is MaxLease unless the state shows that it is shorter.
 func (p *Planner) maxEarlierLease(rec *tracker.Target) time.Duration {
-	known := p.State.ShortLease > 0 && !rec.LongLease
-	if !known && !p.without(WithoutLeaseRecord) {
-		return p.Settings.MaxLease
+	short := min(max(p.State.ShortLease, p.Limits.ShortLease), p.Settings.MaxLease)
+	switch {
+	case p.without(WithoutLeaseRecord), p.State.ShortLease > 0 && !rec.LongLease:
+		return short
+	case p.State.LongLease > 0:
+		return max(short, p.State.LongLease)
 	}
-	return min(max(p.State.ShortLease, p.Limits.ShortLease), p.Settings.MaxLease)
+	return p.Settings.MaxLease
 }
 
 // assumeLease records that the runs on a target may continue for a lease measured
--- a/internal/workflow/planner/limits.go
+++ b/internal/workflow/planner/limits.go
@@ -30,7 +30,7 @@
 	setDefault(&l.PollWait, 500*time.Millisecond)       // the loss of a target is detected within a second
 	setDefault(&l.IdlePollWait, 700*time.Millisecond)   // the same
 	setDefault(&l.ShortLease, 3*time.Second)            // twice the time of an election; tasks of a lost target can't start elsewhere earlier
-	setDefault(&l.LongLease, 10*time.Second)            // longer than most power failures of all replicas
+	setDefault(&l.LongLease, 6500*time.Millisecond)     // a power failure of all replicas for 5 s and an election
 	setDefault(&l.InitialLease, 2500*time.Millisecond)  // a second longer than an election
 	setDefault(&l.LossyPollWait, 150*time.Millisecond)  // an end is detected within half a second although a poll is lost
 	setDefault(&l.OrderTimeout, 200*time.Millisecond)   // ten round trips between regions; orders may be repeated
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -73,6 +73,7 @@
 	Disabled Mechanism // for tests that check that a missing mechanism is detected
 
 	term            registrar.Term
+	begunAt         time.Time
 	targets         map[tracker.TargetID]*target
 	byAddr          map[string]tracker.TargetID
 	pools           map[definer.PoolName]*pool
@@ -161,7 +162,7 @@
 // earlier leader may have ordered is assumed to be running until its target has
 // answered a poll or the target's lease has expired.
 func (p *Planner) Begin(term registrar.Term, now Moment) {
-	p.term = term
+	p.term, p.begunAt = term, now.Monotonic
 	p.targets = make(map[tracker.TargetID]*target)
 	p.byAddr = make(map[string]tracker.TargetID)
 	p.pools = make(map[definer.PoolName]*pool)
@@ -186,7 +187,7 @@
 			p.addJob(j, now)
 		}
 	}
-	p.recordShortLease(now)
+	p.recordLeases(now)
 	p.dirty = true
 }
 
@@ -241,6 +242,7 @@
 		p.checkWaves(now)
 	}
 	p.logOutages(now)
+	p.recordLeases(now)
 	p.forgetEndedJobs(now)
 	p.dirty = true
 }
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -63,6 +63,9 @@
 		s.markVMUp(ev.VMBack)
 	case ev.LeaseRaised != nil:
 		s.ShortLease = max(s.ShortLease, ev.LeaseRaised.Short)
+		if ev.LeaseRaised.Long > 0 {
+			s.LongLease = ev.LeaseRaised.Long
+		}
 	}
 }
 
@@ -286,7 +289,7 @@
 // shared, and the labels of targets, which are replaced and never modified.
 func (s *State) Clone() *State {
 	c := New()
-	c.Applied, c.Clock, c.Document, c.ShortLease = s.Applied, s.Clock, s.Document, s.ShortLease
+	c.Applied, c.Clock, c.Document, c.ShortLease, c.LongLease = s.Applied, s.Clock, s.Document, s.ShortLease, s.LongLease
 	for id, j := range s.Jobs {
 		c.Jobs[id] = j.clone()
 	}
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -121,10 +121,12 @@
 	Before registrar.Millis `cbor:"1,keyasint"`
 }
 
-// LeaseRaised records the lease that a leader grants to targets without LongLease.
-// A lower value than the recorded one is ignored.
+// LeaseRaised records the leases that leaders grant. Short is for targets without
+// LongLease; a lower value than the recorded one is ignored. Long is for the
+// others and replaces the recorded value; 0 leaves it as it is.
 type LeaseRaised struct {
 	Short time.Duration `cbor:"1,keyasint"`
+	Long  time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Encode returns the CBOR encoding of e.
@@ -173,7 +175,7 @@
 	case ev.TargetGone != nil:
 		return "TargetGone " + string(ev.TargetGone.Target)
 	case ev.LeaseRaised != nil:
-		return "LeaseRaised " + ev.LeaseRaised.Short.String()
+		return "LeaseRaised " + ev.LeaseRaised.Short.String() + " " + ev.LeaseRaised.Long.String()
 	}
 	return "Event"
 }
--- a/internal/workflow/tracker/snapshot.go
+++ b/internal/workflow/tracker/snapshot.go
@@ -24,6 +24,7 @@
 	Waves     []*Wave           `cbor:"6,keyasint,omitempty"`
 	EndedJobs []definer.JobID   `cbor:"7,keyasint"`
 	Short     time.Duration     `cbor:"8,keyasint,omitempty"` // State.ShortLease
+	Long      time.Duration     `cbor:"9,keyasint,omitempty"` // State.LongLease
 }
 
 var encMode = mustEncMode()
@@ -38,7 +39,7 @@
 
 // Encode returns a snapshot of s.
 func (s *State) Encode() ([]byte, error) {
-	snap := snapshot{Applied: s.Applied, Clock: s.Clock, Document: s.Document, Short: s.ShortLease}
+	snap := snapshot{Applied: s.Applied, Clock: s.Clock, Document: s.Document, Short: s.ShortLease, Long: s.LongLease}
 	for _, j := range s.Jobs {
 		snap.Jobs = append(snap.Jobs, j)
 	}
@@ -65,7 +66,7 @@
 		return fmt.Errorf("restore snapshot: %w", err)
 	}
 	fresh := New()
-	fresh.Applied, fresh.Clock, fresh.Document, fresh.ShortLease = snap.Applied, snap.Clock, snap.Document, snap.Short
+	fresh.Applied, fresh.Clock, fresh.Document, fresh.ShortLease, fresh.LongLease = snap.Applied, snap.Clock, snap.Document, snap.Short, snap.Long
 	for _, j := range snap.Jobs {
 		if j.Def != nil && j.Occurrences == nil {
 			j.Occurrences = make(map[int]*Occurrence)
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -36,6 +36,9 @@
 	// ShortLease is the longest lease that any leader has granted to targets
 	// without LongLease; 0 if not known.
 	ShortLease time.Duration
+	// LongLease is the longest lease of a target with Target.LongLease that may not
+	// have expired at the start of a new leader; 0 if not known.
+	LongLease time.Duration
 
 	endedJobs []endedJob // in the order in which they ended
 }
--- a/internal/workflow/tracker/tracker_test.go
+++ b/internal/workflow/tracker/tracker_test.go
@@ -179,3 +179,20 @@
 }
 
 func TestMain(m *testing.M) { runWithFixedSeed(m) }
+
+func TestLeasesSurviveSnapshotAndClone(t *testing.T) {
+	c := quicktest.New(t)
+	s := newState()
+	s.ApplyEvent(tracker.Event{LeaseRaised: &tracker.LeaseRaised{Short: 3 * time.Second, Long: 6 * time.Second}}, 1)
+	s.ApplyEvent(tracker.Event{LeaseRaised: &tracker.LeaseRaised{Short: 2 * time.Second}}, 2)
+	data, err := s.Encode()
+	c.Assert(err, quicktest.IsNil)
+	restored := tracker.New()
+	c.Assert(restored.Restore(data), quicktest.IsNil)
+	for _, x := range []*tracker.State{s, s.Clone(), restored} {
+		c.Assert(x.ShortLease, quicktest.Equals, 3*time.Second)
+		c.Assert(x.LongLease, quicktest.Equals, 6*time.Second)
+	}
+	s.ApplyEvent(tracker.Event{LeaseRaised: &tracker.LeaseRaised{Short: 3 * time.Second, Long: 5 * time.Second}}, 3)
+	c.Assert(s.LongLease, quicktest.Equals, 5*time.Second)
+}
