Planner: restore long-running tasks first, with tickets and capacity in hand

Callers saw tasks of long-running jobs without a run for up to 55 s while the cell was overloaded, although targets had room for them and tasks of queues with lower priority were placed.

Cause: the licensing service answers half a second to a second after a step has asked, and the step asked only for targets that had room at that moment. By then steps that hold tickets, of any priority, had taken the room: priority is followed only among steps with a ticket. Without tickets, a backlog of higher priority had the same effect. In addition, a long-running step counted as late for good once it had been placed first, and a need larger than what one end releases was never met.

Now a long-running step of which a task has lost its run precedes all others, the longest wait first. It keeps tickets for targets that are full, renews them, and holds capacity that becomes free until it suffices; so does one that has waited for its first runs for 6 s, in the order of its priority. A long-running step is never put behind as late.

--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -85,6 +85,8 @@
 	reruns         int       // runs beyond the first of each task
 	waiting        []waitingTask
 	waitLoggedAt   time.Time
+	restoring      bool // it precedes all other steps in the present pass
+	holding        bool // capacity is held for it, and it has tickets for full targets
 	admitted       map[tracker.TargetID]bool
 	tickets        map[tracker.TargetID]ticket
 	pendingRequest TicketRequestID // 0: none
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -9,10 +9,10 @@
 	"masticroad/internal/workflow/tracker"
 )
 
-// This file decides where waiting tasks run. Steps are ordered by priority, then
-// by the latest start that meets their job's objective, so that of two steps with
-// the same priority and objective the one with the longer critical path goes
-// first.
+// This file decides where waiting tasks run. Long-running steps that have to be
+// restored go first, see restore.go. The others are ordered by priority, then by
+// the latest start that meets their job's objective, so that of two steps with the
+// same priority and objective the one with the longer critical path goes first.
 
 func (p *Planner) insertStep(s *step) {
 	i, _ := slices.BinarySearchFunc(p.stepsByPriority, s, compareSteps)
@@ -40,6 +40,7 @@
 // place starts the waiting tasks for which there is capacity.
 func (p *Planner) place(now Moment) {
 	p.beginPass()
+	p.releaseHolds()
 	for _, s := range p.placementOrder(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
@@ -54,19 +55,26 @@
 
 // placementOrder returns the steps in the order in which they are placed. Within a
 // priority, steps that can still meet their objective precede those that can't.
-// Otherwise, under overload, each late step would make the next one late.
+// Otherwise, under overload, each late step would make the next one late. A
+// long-running step is worth placing however late it is.
 func (p *Planner) placementOrder(now Moment) []*step {
-	out := make([]*step, 0, len(p.stepsByPriority))
+	out := p.stepsToRestore(now)
 	for rest := p.stepsByPriority; len(rest) > 0; {
 		n := 1
 		for n < len(rest) && rest[n].priority == rest[0].priority {
 			n++
 		}
-		late := 0
-		for late < n && rest[late].latestStart.Before(now.Monotonic) {
-			late++
+		var late []*step
+		for _, s := range rest[:n] {
+			switch {
+			case s.restoring:
+			case s.latestStart.Before(now.Monotonic) && !s.def.LongRunning:
+				late = append(late, s)
+			default:
+				out = append(out, s)
+			}
 		}
-		out = append(append(out, rest[late:n]...), rest[:late]...)
+		out = append(out, late...)
 		rest = rest[n:]
 	}
 	return out
@@ -84,6 +92,9 @@
 	if len(s.waiting) > 0 {
 		p.findCapacity(s, pl, len(s.waiting), now)
 		p.preempt(s, pl, now)
+		if s.holding {
+			p.holdCapacity(s, pl, now)
+		}
 	}
 }
 
@@ -215,7 +226,7 @@
 
 // fits reports whether a target has capacity for one more task of the step.
 func (p *Planner) fits(s *step, t *target) bool {
-	if !s.def.Charge().FitsIn(t.rec.Capacity.Minus(t.used)) {
+	if !s.def.Charge().FitsIn(t.free()) {
 		return false
 	}
 	if s.def.BestEffortCPU && t.unusedCPU() < s.def.Need.CPU {
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -87,6 +87,7 @@
 	upkeep          upkeep
 	interference    map[imagePair]time.Time
 	scans           map[definer.PoolName]*poolScan // of the current pass
+	holding         []*target                      // with capacity held by the newest pass
 	proxiesFull     bool                           // no proxy accepts another ticket request in this pass
 	dirty           bool                           // placement has to run again
 	stepsByPriority []*step
@@ -175,6 +176,7 @@
 	p.upkeep = newUpkeep()
 	p.interference = make(map[imagePair]time.Time)
 	p.scans = make(map[definer.PoolName]*poolScan)
+	p.holding = nil
 	p.stepsByPriority = nil
 	p.round = Round{}
 	p.Counters = Counters{}
--- a/internal/workflow/planner/racks.go
+++ b/internal/workflow/planner/racks.go
@@ -88,7 +88,7 @@
 
 // taskCapacity returns how many more tasks of a step fit on a target.
 func (p *Planner) taskCapacity(s *step, t *target) int {
-	free, need := t.rec.Capacity.Minus(t.used), s.def.Charge()
+	free, need := t.free(), s.def.Charge()
 	n := len(s.waiting)
 	if s.def.MaxPerTarget > 0 {
 		n = min(n, s.def.MaxPerTarget-p.runsOf(s, t))
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -19,6 +19,7 @@
 type target struct {
 	rec  *tracker.Target
 	used registrar.Need
+	held registrar.Need // by the present pass, for long-running tasks that wait; see holdCapacity
 	runs map[runKey]*run
 	// orphans are runs that it lists and the replicated state does not have.
 	orphans map[runKey]registrar.Need
@@ -47,6 +48,9 @@
 	throttling           throttling
 }
 
+// free returns the capacity for new work.
+func (t *target) free() registrar.Need { return t.rec.Capacity.Minus(t.used).Minus(t.held) }
+
 // pool is the set of targets that run the tasks of some queues.
 type pool struct {
 	name    definer.PoolName
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -21,7 +21,12 @@
 	expires time.Time
 }
 
-func (t ticket) valid(now Moment) bool { return t.text != "" && now.Monotonic.Before(t.expires) }
+func (t ticket) valid(now Moment) bool { return t.validFor(0, now) }
+
+// validFor reports whether a ticket will be valid for another while.
+func (t ticket) validFor(d time.Duration, now Moment) bool {
+	return t.text != "" && now.Monotonic.Add(d).Before(t.expires)
+}
 
 // ticketMargin is subtracted from the validity of a ticket, for the commit of the
 // start and the transmission of the order.
@@ -146,6 +151,9 @@
 		n = max(missing*targetsPerTask, minTargetsPerRequest)
 	}
 	named := append(known, unknown[:min(len(unknown), n)]...)
+	if s.holding {
+		named = append(named, p.fullCandidates(s, pl, waiting, now)...)
+	}
 	return idsOf(named[:min(len(named), maxTargetsPerRequest)])
 }
 
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -74,7 +74,7 @@
 	eligible     int // for new work of the step, capacity aside
 	closed       int // schedulable, but failing the health check
 	avoided      int // eligible, but a run of the job has recently failed there
-	room         int // eligible, with capacity for one more task
+	room         int // eligible, with capacity for one more task, held or not
 	roomAdmitted int // the same, and known to be admitted by the licensing service
 	asked        int // eligible, and named in an answered ticket request
 	admitted     int // eligible, and known to be admitted
@@ -101,7 +101,7 @@
 		count(&x.tickets, s.tickets[t.rec.ID].valid(now))
 		if s.job.avoids(t, len(pl.targets), now) {
 			x.avoided++
-		} else if p.fits(s, t) {
+		} else if s.def.Charge().FitsIn(t.rec.Capacity.Minus(t.used)) && (s.def.MaxPerTarget == 0 || p.runsOf(s, t) < s.def.MaxPerTarget) {
 			x.room++
 			count(&x.roomAdmitted, admitted)
 		}
