Planner: replace a lost run before the first runs of the same step

The tasks that have had a run are now the first ones of their step, the oldest loss first, and only they precede all other work.

TestLostRunIsReplacedBeforeFirstRunsOfItsStep failed before.

--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -85,7 +85,7 @@
 	reruns         int       // runs beyond the first of each task
 	waiting        []waitingTask
 	waitLoggedAt   time.Time
-	restoring      bool // it precedes all other steps in the present pass
+	lostRuns       int  // waiting tasks of a long-running step that have had a run; they are the first ones
 	holding        bool // capacity is held for it, and it has tickets for full targets
 	admitted       map[tracker.TargetID]bool
 	tickets        map[tracker.TargetID]ticket
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -41,6 +41,13 @@
 func (p *Planner) place(now Moment) {
 	p.beginPass()
 	p.releaseHolds()
+	for _, s := range p.stepsToRestore(now) {
+		if s.def.Gang {
+			p.placeGang(s, now)
+			continue
+		}
+		p.placeTasks(s, s.lostRuns, now)
+	}
 	for _, s := range p.placementOrder(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
@@ -49,7 +56,7 @@
 			p.placeGang(s, now)
 			continue
 		}
-		p.placeTasks(s, now)
+		p.placeTasks(s, len(s.waiting), now)
 	}
 }
 
@@ -58,7 +65,7 @@
 // Otherwise, under overload, each late step would make the next one late. A
 // long-running step is worth placing however late it is.
 func (p *Planner) placementOrder(now Moment) []*step {
-	out := p.stepsToRestore(now)
+	out := make([]*step, 0, len(p.stepsByPriority))
 	for rest := p.stepsByPriority; len(rest) > 0; {
 		n := 1
 		for n < len(rest) && rest[n].priority == rest[0].priority {
@@ -66,13 +73,11 @@
 		}
 		var late []*step
 		for _, s := range rest[:n] {
-			switch {
-			case s.restoring:
-			case s.latestStart.Before(now.Monotonic) && !s.def.LongRunning:
+			if s.latestStart.Before(now.Monotonic) && !s.def.LongRunning {
 				late = append(late, s)
-			default:
-				out = append(out, s)
+				continue
 			}
+			out = append(out, s)
 		}
 		out = append(out, late...)
 		rest = rest[n:]
@@ -80,38 +85,41 @@
 	return out
 }
 
-func (p *Planner) placeTasks(s *step, now Moment) {
+// placeTasks starts up to limit waiting tasks of a step.
+func (p *Planner) placeTasks(s *step, limit int, now Moment) {
 	pl := p.pools[s.pool]
 	if pl == nil {
 		return
 	}
 	s.rack = p.requiredRack(s, pl, now)
 	if t := p.choose(s, pl, now); t != nil {
-		p.startOn(s, pl, t, now)
+		limit -= p.startOn(s, pl, t, limit, now)
 	}
-	if len(s.waiting) > 0 {
-		p.findCapacity(s, pl, len(s.waiting), now)
+	if limit > 0 {
+		p.findCapacity(s, pl, limit, now)
 		p.preempt(s, pl, now)
 		if s.holding {
-			p.holdCapacity(s, pl, now)
+			p.holdCapacity(s, pl, limit, now)
 		}
 	}
 }
 
-// startOn starts the first waiting task of a step on a target, and further ones on
-// the best targets as long as there is capacity.
-func (p *Planner) startOn(s *step, pl *pool, t *target, now Moment) {
+// startOn starts the first waiting task of a step on a target, and further ones, up
+// to limit in all, on the best targets as long as there is capacity. It returns how
+// many it has started.
+func (p *Planner) startOn(s *step, pl *pool, t *target, limit int, now Moment) int {
 	starts := make(map[tracker.RunNumber][]tracker.Placement)
 	n := 0
 	for t != nil {
 		p.reserve(s, s.waiting[n].index, t, starts, now)
-		if n++; n == len(s.waiting) {
+		if n++; n == limit {
 			break
 		}
 		t = p.choose(s, pl, now)
 	}
 	s.waiting = slices.Clone(s.waiting[n:])
 	p.emitStarts(s, starts, now)
+	return n
 }
 
 // reserve charges a target with the next run of a task and adds it to starts, from
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -8,13 +8,13 @@
 	"masticroad/internal/control/registrar"
 )
 
-// This file restores long-running steps of which tasks have lost their runs. The
-// time for that is bounded however full the cell is, so these steps precede all
-// others. Being first in a pass isn't enough: the licensing service answers
-// up to a second after capacity has become free, and a large task needs more
-// capacity than one end releases. The steps therefore keep tickets for targets
-// that are full at present, and hold capacity that becomes free. So do long-running
-// steps that have waited long for their first runs, in the order of their priority.
+// This file restores long-running tasks that have lost their runs. The time for that
+// is bounded however full the cell is, so they precede all other tasks. Being first
+// in a pass isn't enough: the licensing service answers up to a second after
+// capacity has become free, and a large task needs more capacity than one end
+// releases. Their steps therefore keep tickets for targets that are full at
+// present, and hold capacity that becomes free. So do long-running steps that have
+// waited long for their first runs, in the order of their priority.
 
 const (
 	// maxFirstWait is how long a long-running task waits for its first run before
@@ -29,28 +29,39 @@
 	renewBefore = time.Second
 )
 
-// stepsToRestore returns the long-running steps of which a task has lost its run, the
-// one with the oldest waiting task first. It marks them, and the steps for which
-// capacity is held.
+// stepsToRestore returns the long-running steps with tasks that have lost their runs,
+// the one with the oldest loss first. It also marks the steps for which capacity is
+// held.
 func (p *Planner) stepsToRestore(now Moment) []*step {
-	out := make([]*step, 0, len(p.stepsByPriority))
+	var out []*step
 	for _, s := range p.stepsByPriority {
-		s.restoring, s.holding = false, false
-		if !s.def.LongRunning || len(s.waiting) == 0 {
+		s.lostRuns, s.holding = 0, false
+		if !s.def.LongRunning || len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
 		}
-		if s.restoring = s.hasLostRun(); s.restoring {
+		s.countLostRuns()
+		if s.lostRuns > 0 {
 			out = append(out, s)
 		}
-		s.holding = s.restoring || now.Monotonic.Sub(s.oldestWait(now)) >= maxFirstWait
+		s.holding = s.lostRuns > 0 || now.Monotonic.Sub(s.oldestWait(now)) >= maxFirstWait
 	}
-	slices.SortStableFunc(out, func(a, b *step) int { return a.oldestWait(now).Compare(b.oldestWait(now)) })
+	slices.SortStableFunc(out, func(a, b *step) int { return a.waiting[0].since.Compare(b.waiting[0].since) })
 	return out
 }
 
-// hasLostRun reports whether a waiting task of the step has had a run.
-func (s *step) hasLostRun() bool {
-	return slices.ContainsFunc(s.waiting, func(w waitingTask) bool { return s.rec.Tasks[w.index].LastRun > 0 })
+// countLostRuns sets lostRuns and moves those tasks to the front, the oldest loss
+// first.
+func (s *step) countLostRuns() {
+	runRank := func(w waitingTask) int {
+		if s.rec.Tasks[w.index].LastRun > 0 {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(s.waiting, func(a, b waitingTask) int { return cmp.Or(runRank(a)-runRank(b), a.since.Compare(b.since)) })
+	for s.lostRuns < len(s.waiting) && runRank(s.waiting[s.lostRuns]) == 0 {
+		s.lostRuns++
+	}
 }
 
 // fullCandidates returns targets without free capacity for which a step should have
@@ -96,10 +107,10 @@
 	return s.def.Charge().Minus(t.free()).DominantShare(t.rec.Capacity)
 }
 
-// holdCapacity holds capacity for the waiting tasks of a step until the next pass,
-// each on the target that lacks the least. For a queue that needs tickets, only
+// holdCapacity holds capacity for a number of waiting tasks of a step until the next
+// pass, each on the target that lacks the least. For a queue that needs tickets, only
 // targets that are known to admit the step are considered.
-func (p *Planner) holdCapacity(s *step, pl *pool, now Moment) {
+func (p *Planner) holdCapacity(s *step, pl *pool, tasks int, now Moment) {
 	var options []option
 	for _, t := range pl.targets {
 		if s.job.rec.Queue.Licence.Required && !s.admitted[t.rec.ID] || !p.mayRunLater(s, pl, t, now) {
@@ -112,7 +123,7 @@
 		options = append(options, option{t.rec.ID, cost})
 	}
 	slices.SortStableFunc(options, func(a, b option) int { return cmp.Or(compareOptions(a, b), cmp.Compare(a.id, b.id)) })
-	for i := range min(len(options), len(s.waiting)) {
+	for i := range min(len(options), tasks) {
 		t := p.targets[options[i].id]
 		t.held = t.held.Plus(s.def.Charge())
 		p.holding = append(p.holding, t)
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -245,3 +245,25 @@
 	s.advance(50 * time.Millisecond)
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 }
+
+// A step waits for the first runs of some tasks when another one loses its run.
+func TestLostRunIsReplacedBeforeFirstRunsOfItsStep(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	starts := s.submit(1, definer.Step{Count: 6, Need: cpus(4), LongRunning: true})
+	c.Assert(starts, quicktest.HasLen, 4)
+	var rows []row
+	for _, o := range starts {
+		s.acceptStart(o)
+		rows = append(rows, row{target: "t1", task: o.Task, number: 1, percent: 100})
+	}
+	s.advance(time.Second)
+	s.answerPolls(rows...)
+	s.advance(time.Second)
+	rows[2].how = tracker.EndFailed
+	s.answerPolls(rows...)
+	s.advance(50 * time.Millisecond)
+	again := s.starts()
+	c.Assert(again, quicktest.HasLen, 1)
+	c.Assert(again[0].Task, quicktest.Equals, rows[2].task)
+}
