Planner: don't avoid the only targets that a step may use

Callers saw tasks without a run for 8 s after a failure although a target had room for them: a job uses no target on which one of its runs has failed in the last 8 s as long as those are less than half of the pool. Labels and the licensing service may leave a step far fewer targets than the pool has, so that none is left.

After 1.5 s a step uses such a target again if no other one, free or full, may run it. A long-running task does so in any case, as its attempts aren't counted and the time without a run is bounded. Where another target has room, the task starts there at once, as before.

TestTaskReturnsToTheTargetOnWhichItFailedIfItMayUseNoOther failed before.

--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -44,15 +44,39 @@
 	j.failures[t] = now.Monotonic
 }
 
-// avoids reports whether the job should use other targets of its pool, as a run
-// has recently failed on this one. Attempts are few, and a faulty target may fail
-// the job again.
-func (j *job) avoids(t *target, poolSize int, now Moment) bool {
-	at, failed := j.failures[t]
-	return failed && now.Monotonic.Sub(at) < avoidAfterFailure && 2*len(j.failures) < poolSize
+// avoids reports whether a step should use other targets of its pool, as a run of
+// its job has recently failed on this one. Attempts are few, and a faulty target may
+// fail the job again. Labels and the licensing service may leave a step no others; a
+// long-running task, whose attempts aren't counted, waits only briefly for others.
+func (p *Planner) avoids(s *step, pl *pool, t *target, now Moment) bool {
+	at, failed := s.job.failures[t]
+	since := now.Monotonic.Sub(at)
+	if !failed || since >= avoidAfterFailure || 2*len(s.job.failures) >= len(pl.targets) {
+		return false
+	}
+	return since < maxAvoidWait || !s.def.LongRunning && p.hasAlternative(s, pl, now)
+}
+
+// hasAlternative reports whether a step may use a target, now or later, on which no
+// run of its job has failed.
+func (p *Planner) hasAlternative(s *step, pl *pool, now Moment) bool {
+	for _, t := range pl.targets {
+		if _, failed := s.job.failures[t]; failed || !p.isEligible(s, t, now) || !s.def.Charge().FitsIn(t.rec.Capacity) {
+			continue
+		}
+		if admitted, asked := s.admitted[t.rec.ID]; admitted || !asked {
+			return true
+		}
+	}
+	return false
 }
 
-const avoidAfterFailure = 8 * time.Second // faults of targets were observed to last 4 to 7 s
+const (
+	avoidAfterFailure = 8 * time.Second // faults of targets were observed to last 4 to 7 s
+	// maxAvoidWait bounds the wait for another target. Callers may rely on no task
+	// waiting for 3 s while there is free capacity.
+	maxAvoidWait = 1500 * time.Millisecond
+)
 
 // recordCompletion records the timing of a completed step. If this leader placed
 // none of its tasks, an earlier leader did.
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -202,7 +202,7 @@
 // isFeasible reports whether one more task of a step may start on a target now,
 // tickets aside.
 func (p *Planner) isFeasible(s *step, pl *pool, t *target, now Moment) bool {
-	return p.isEligible(s, t, now) && p.fits(s, t) && !s.job.avoids(t, len(pl.targets), now)
+	return p.isEligible(s, t, now) && p.fits(s, t) && !p.avoids(s, pl, t, now)
 }
 
 // bestTarget keeps the target with the lowest score; ties go to the lowest id.
--- a/internal/workflow/planner/place_test.go
+++ b/internal/workflow/planner/place_test.go
@@ -243,3 +243,26 @@
 		c.Assert(again[0].Number, quicktest.Equals, tracker.RunNumber(2))
 	}
 }
+
+// A run fails on the only target that a step may use. The attempts are not spent.
+func TestTaskReturnsToTheTargetOnWhichItFailedIfItMayUseNoOther(t *testing.T) {
+	c := quicktest.New(t)
+	for _, longRunning := range []bool{false, true} {
+		s := newHarness(c, 6)
+		special := s.record(7)
+		special.Labels = []string{"special"}
+		s.announce(special)
+		s.advance(50 * time.Millisecond)
+		s.answerPolls()
+		step := oneTask(cpus(1))
+		step.Label, step.LongRunning = "special", longRunning
+		first := s.submit(1, step)
+		c.Assert(first, quicktest.HasLen, 1)
+		s.acceptStart(first[0])
+		s.advance(time.Second)
+		s.answerPolls(row{target: "t7", task: first[0].Task, number: 1, how: tracker.EndFailed})
+		c.Assert(s.starts(), quicktest.HasLen, 0, quicktest.Commentf("another target may turn up"))
+		s.advance(3 * time.Second)
+		c.Assert(s.starts(), quicktest.HasLen, 1)
+	}
+}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -87,7 +87,7 @@
 	var bestVictims []*run
 	bestCost := 0.0
 	for _, t := range pl.targets {
-		if !p.isEligibleWithTicket(s, t, now) || s.job.avoids(t, len(pl.targets), now) || s.def.MaxPerTarget > 0 && p.runsOf(s, t) >= s.def.MaxPerTarget {
+		if !p.isEligibleWithTicket(s, t, now) || p.avoids(s, pl, t, now) || s.def.MaxPerTarget > 0 && p.runsOf(s, t) >= s.def.MaxPerTarget {
 			continue
 		}
 		victims, cost, ok := p.victims(s, t, now)
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -96,7 +96,7 @@
 // mayRunLater reports whether one more task of a step may start on a target once
 // the target has free capacity.
 func (p *Planner) mayRunLater(s *step, pl *pool, t *target, now Moment) bool {
-	return p.isEligible(s, t, now) && s.def.Charge().FitsIn(t.rec.Capacity) && !s.job.avoids(t, len(pl.targets), now) &&
+	return p.isEligible(s, t, now) && s.def.Charge().FitsIn(t.rec.Capacity) && !p.avoids(s, pl, t, now) &&
 		(s.def.MaxPerTarget == 0 || p.runsOf(s, t) < s.def.MaxPerTarget)
 }
 
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -99,7 +99,7 @@
 		count(&x.asked, asked)
 		count(&x.admitted, admitted)
 		count(&x.tickets, s.tickets[t.rec.ID].valid(now))
-		if s.job.avoids(t, len(pl.targets), now) {
+		if p.avoids(s, pl, t, now) {
 			x.avoided++
 		} else if s.def.Charge().FitsIn(t.rec.Capacity.Minus(t.used)) && (s.def.MaxPerTarget == 0 || p.runsOf(s, t) < s.def.MaxPerTarget) {
 			x.room++
