Planner: request tickets before a lost target is given up

Callers saw a long-running task of a lost target without a run for up to a second after the target's lease had expired: only then did its step ask the licensing service, which takes half a second to a second.

The leader knows when the lease of a target that does not answer expires. It now requests tickets for the long-running tasks there a second before.

--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -48,6 +48,7 @@
 		}
 		p.placeTasks(s, s.lostRuns, now)
 	}
+	p.requestTicketsAhead(now)
 	for _, s := range p.placementOrder(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -24,8 +24,8 @@
 	// task. Any of these targets may be the next one with an end of a run.
 	ticketsPerTask = 4
 	minTickets     = 8
-	// renewBefore is the remaining validity at which a ticket is renewed: the time
-	// that the licensing service takes to answer.
+	// renewBefore is the time before a ticket or a lease expires at which tickets are
+	// requested: as long as the licensing service takes to answer.
 	renewBefore = time.Second
 )
 
@@ -64,6 +64,44 @@
 	}
 }
 
+// endangeredSteps returns the long-running steps that need tickets and have runs on
+// targets whose leases are about to expire, ordered by id, with the number of those
+// runs.
+func (p *Planner) endangeredSteps(now Moment) ([]*step, map[*step]int) {
+	counts := make(map[*step]int)
+	var steps []*step
+	for _, t := range p.targets {
+		if t.responsive || len(t.runs) == 0 || t.leaseEnd.Sub(now.Monotonic) > renewBefore {
+			continue
+		}
+		for _, r := range t.runs {
+			s := p.steps[r.key.task.StepID()]
+			if s == nil || !s.def.LongRunning || r.stopping || !s.job.rec.Queue.Licence.Required {
+				continue
+			}
+			if counts[s] == 0 {
+				steps = append(steps, s)
+			}
+			counts[s]++
+		}
+	}
+	slices.SortFunc(steps, func(a, b *step) int {
+		return cmp.Or(cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Occurrence, b.id.Occurrence), cmp.Compare(a.id.Step, b.id.Step))
+	})
+	return steps, counts
+}
+
+// requestTicketsAhead requests tickets for runs that are about to be given up, so
+// that their tasks start elsewhere at once.
+func (p *Planner) requestTicketsAhead(now Moment) {
+	steps, counts := p.endangeredSteps(now)
+	for _, s := range steps {
+		if pl := p.pools[s.pool]; pl != nil {
+			p.requestTickets(s, pl, counts[s], now)
+		}
+	}
+}
+
 // fullCandidates returns targets without free capacity for which a step should have
 // tickets before there is some: those that are known to admit it first, and of
 // these the ones with the most free capacity.
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -62,6 +62,8 @@
 	started int
 	running []startedRun
 	asked   []pendingTickets
+	// unresponsive is a target that answers no poll.
+	unresponsive tracker.TargetID
 }
 
 type startedRun struct {
@@ -104,13 +106,19 @@
 		b.running = append(b.running, startedRun{row{target: o.To.Target, task: o.Task, number: o.Number, percent: 100}, def.LongRunning, now.Add(runTime)})
 		b.acceptStart(o)
 	}
-	b.report()
+	b.answer()
 	return starts
 }
 
-// report answers the polls; ended runs are listed once.
-func (b *busyCell) report() {
+// answer answers the polls; ended runs are listed once.
+func (b *busyCell) answer() {
 	for _, o := range b.polls() {
+		if o.To.Target == b.unresponsive {
+			r := b.harness.report(o)
+			r.Answered = false
+			b.p.PollReported(r, b.now)
+			continue
+		}
 		var rows []row
 		b.running = slices.DeleteFunc(b.running, func(x startedRun) bool {
 			if x.target != o.To.Target {
@@ -267,3 +275,25 @@
 	c.Assert(again, quicktest.HasLen, 1)
 	c.Assert(again[0].Task, quicktest.Equals, rows[2].task)
 }
+
+// A target stops answering. The tickets for its long-running task elsewhere are
+// requested before its lease has expired.
+func TestTicketsAreRequestedBeforeALostTargetIsGivenUp(t *testing.T) {
+	c := quicktest.New(t)
+	b := &busyCell{harness: newHarness(c, 6)}
+	d := *b.p.State.Document
+	d.Version++
+	d.Queues = slices.Clone(d.Queues)
+	d.Queues[0].Licence = slowLicence
+	b.p.Put(&d, func() {}, b.now)
+	b.p.AddLicenceProxy("vm1", b.now)
+	b.submitUnchecked(1, definer.Step{Count: 1, Need: cpus(4), LongRunning: true})
+	task := definer.TaskID{Job: 1}
+	c.Assert(b.until(task, 3*time.Second) < 3*time.Second, quicktest.IsTrue)
+	b.step()
+	b.unresponsive = b.running[0].target
+	took := b.until(task, 12*time.Second)
+	lease := time.Duration(float64(b.p.Limits.LongLease) / (1 - b.p.Limits.DriftShare))
+	c.Assert(took > b.p.Limits.LongLease, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+	c.Assert(took < lease+300*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+}
