Planner: hold capacity once, where it can become free, and before the lease is over

Found by review of the restoring of long-running tasks, with a test each:

- A step was handled twice in a pass and held twice the capacity that its lost runs need (TestStepHoldsCapacityOnceForEachWaitingTask).
- Capacity was held on targets that lack it because of other long-running tasks, which do not end.
- It was held on other targets than those named in the request for tickets, so that the named ones were full at the answer, once per loss (TestCapacityIsHeldWhereTicketsAreRequested: 1.15 s with a service of 0.5 s).
- In a full cell nothing was requested before the lease was over, since no target had room (TestTicketsForFullTargetsAreRequestedBeforeALostTargetIsGivenUp: 0.72 s after it).

--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -46,9 +46,9 @@
 			p.placeGang(s, now)
 			continue
 		}
-		p.placeTasks(s, s.lostRuns, now)
+		s.lostRuns -= p.placeTasks(s, s.lostRuns, now)
 	}
-	p.requestTicketsAhead(now)
+	p.prepareRestore(now)
 	for _, s := range p.placementOrder(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
@@ -57,7 +57,9 @@
 			p.placeGang(s, now)
 			continue
 		}
-		p.placeTasks(s, len(s.waiting), now)
+		if others := len(s.waiting) - s.lostRuns; others > 0 {
+			p.placeTasks(s, others, now)
+		}
 	}
 }
 
@@ -86,23 +88,26 @@
 	return out
 }
 
-// placeTasks starts up to limit waiting tasks of a step.
-func (p *Planner) placeTasks(s *step, limit int, now Moment) {
+// placeTasks starts up to limit waiting tasks of a step and returns how many it has
+// started.
+func (p *Planner) placeTasks(s *step, limit int, now Moment) int {
 	pl := p.pools[s.pool]
 	if pl == nil {
-		return
+		return 0
 	}
 	s.rack = p.requiredRack(s, pl, now)
+	started := 0
 	if t := p.choose(s, pl, now); t != nil {
-		limit -= p.startOn(s, pl, t, limit, now)
+		started = p.startOn(s, pl, t, limit, now)
 	}
-	if limit > 0 {
-		p.findCapacity(s, pl, limit, now)
+	if left := limit - started; left > 0 {
+		p.findCapacity(s, pl, left, now)
 		p.preempt(s, pl, now)
 		if s.holding {
-			p.holdCapacity(s, pl, limit, now)
+			p.holdCapacity(s, pl, left, now)
 		}
 	}
+	return started
 }
 
 // startOn starts the first waiting task of a step on a target, and further ones, up
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/workflow/tracker"
 )
 
 // This file restores long-running tasks that have lost their runs. The time for that
@@ -64,9 +65,8 @@
 	}
 }
 
-// endangeredSteps returns the long-running steps that need tickets and have runs on
-// targets whose leases are about to expire, ordered by id, with the number of those
-// runs.
+// endangeredSteps returns the long-running steps with runs on targets whose leases
+// are about to expire, ordered by id, and the number of those runs.
 func (p *Planner) endangeredSteps(now Moment) ([]*step, map[*step]int) {
 	counts := make(map[*step]int)
 	var steps []*step
@@ -76,7 +76,7 @@
 		}
 		for _, r := range t.runs {
 			s := p.steps[r.key.task.StepID()]
-			if s == nil || !s.def.LongRunning || r.stopping || !s.job.rec.Queue.Licence.Required {
+			if s == nil || !s.def.LongRunning || s.def.Gang || r.stopping {
 				continue
 			}
 			if counts[s] == 0 {
@@ -91,13 +91,15 @@
 	return steps, counts
 }
 
-// requestTicketsAhead requests tickets for runs that are about to be given up, so
-// that their tasks start elsewhere at once.
-func (p *Planner) requestTicketsAhead(now Moment) {
+// prepareRestore requests tickets and holds capacity for runs that are about to be
+// given up, so that their tasks start elsewhere at once.
+func (p *Planner) prepareRestore(now Moment) {
 	steps, counts := p.endangeredSteps(now)
 	for _, s := range steps {
 		if pl := p.pools[s.pool]; pl != nil {
-			p.requestTickets(s, pl, counts[s], now)
+			s.holding = true
+			p.findCapacity(s, pl, counts[s], now)
+			p.holdCapacity(s, pl, counts[s], now)
 		}
 	}
 }
@@ -132,12 +134,23 @@
 const unknownPenalty = 2.0 // a shortfall is at most 1
 
 // mayRunLater reports whether one more task of a step may start on a target once
-// the target has free capacity.
+// the runs there that end by themselves have done so.
 func (p *Planner) mayRunLater(s *step, pl *pool, t *target, now Moment) bool {
-	return p.isEligible(s, t, now) && s.def.Charge().FitsIn(t.rec.Capacity) && !p.avoids(s, pl, t, now) &&
+	return p.isEligible(s, t, now) && s.def.Charge().FitsIn(t.freeLater()) && !p.avoids(s, pl, t, now) &&
 		(s.def.MaxPerTarget == 0 || p.runsOf(s, t) < s.def.MaxPerTarget)
 }
 
+// freeLater returns the capacity that neither long-running tasks nor holds take.
+func (t *target) freeLater() registrar.Need {
+	free := t.rec.Capacity.Minus(t.held)
+	for _, r := range t.runs {
+		if r.def.LongRunning && !r.stopping {
+			free = free.Minus(r.charge)
+		}
+	}
+	return free
+}
+
 // shortfall returns the capacity that a target lacks for one more task of a step, as
 // a share of its capacity: 0 if the task fits, 1 if it needs an empty target and this
 // one is full.
@@ -145,10 +158,15 @@
 	return s.def.Charge().Minus(t.free()).DominantShare(t.rec.Capacity)
 }
 
-// holdCapacity holds capacity for a number of waiting tasks of a step until the next
-// pass, each on the target that lacks the least. For a queue that needs tickets, only
-// targets that are known to admit the step are considered.
+// holdCapacity holds capacity for a number of tasks of a step until the next pass,
+// each on the target that lacks the least. For a queue that needs tickets, only
+// targets that are known to admit the step are considered, preferably those for which
+// it has a ticket or has requested one.
 func (p *Planner) holdCapacity(s *step, pl *pool, tasks int, now Moment) {
+	var requested []tracker.TargetID
+	if a := p.ticketRequests[s.pendingRequest]; a != nil {
+		requested = a.targets
+	}
 	var options []option
 	for _, t := range pl.targets {
 		if s.job.rec.Queue.Licence.Required && !s.admitted[t.rec.ID] || !p.mayRunLater(s, pl, t, now) {
@@ -157,6 +175,9 @@
 		cost := p.shortfall(s, t)
 		if s.job.rec.Queue.Licence.Required && !s.tickets[t.rec.ID].valid(now) {
 			cost += noTicketPenalty
+			if slices.Contains(requested, t.rec.ID) {
+				cost -= noTicketPenalty / 2
+			}
 		}
 		options = append(options, option{t.rec.ID, cost})
 	}
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -297,3 +297,117 @@
 	c.Assert(took > b.p.Limits.LongLease, quicktest.IsTrue, quicktest.Commentf("after %s", took))
 	c.Assert(took < lease+300*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %s", took))
 }
+
+func (b *busyCell) targetOf(task definer.TaskID) tracker.TargetID {
+	for _, x := range b.running {
+		if x.task == task {
+			return x.target
+		}
+	}
+	b.c.Fatalf("%s does not run", task)
+	return ""
+}
+
+// A step holds as much capacity as it has waiting tasks, not more.
+func TestStepHoldsCapacityOnceForEachWaitingTask(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 3)
+	// One task with the need of a whole target on each of two targets, and parts of the third.
+	long := s.submit(1, definer.Step{Count: 1, Need: cpus(16), LongRunning: true})
+	c.Assert(long, quicktest.HasLen, 1)
+	s.acceptStart(long[0])
+	rows := []row{{target: long[0].To.Target, task: long[0].Task, number: 1, percent: 100}}
+	for id := definer.JobID(2); id <= 3; id++ {
+		for _, o := range s.submit(id, oneTask(cpus(10))) {
+			s.acceptStart(o)
+			rows = append(rows, row{target: o.To.Target, task: o.Task, number: 1, percent: 10})
+		}
+	}
+	s.answerPolls(rows...)
+	c.Assert(rows, quicktest.HasLen, 3)
+	s.advance(time.Second)
+	rows[0].how = tracker.EndFailed
+	s.answerPolls(rows...)
+	s.advance(50 * time.Millisecond)
+	s.starts()
+	s.answerPolls(rows[1:]...)
+	// All three targets have room for 4 processors; one of them is held.
+	started := len(s.submit(4, definer.Step{Count: 3, Need: cpus(4), MaxPerTarget: 1, Estimate: time.Second}))
+	c.Assert(started >= 2, quicktest.IsTrue, quicktest.Commentf("%d of 3 started", started))
+}
+
+// The targets that lack the least capacity lack it because of other long-running
+// tasks, which do not end. On others all tasks end within seconds.
+func TestCapacityIsNotHeldWhereALongRunningTaskKeepsItUsed(t *testing.T) {
+	c := quicktest.New(t)
+	b := &busyCell{harness: newHarness(c, 5), runTime: 2 * time.Second}
+	b.putTwoQueues(1, 2)
+	task := definer.TaskID{Job: 1}
+	b.submitUnchecked(1, definer.Step{Count: 1, Need: cpus(16), LongRunning: true})
+	b.step()
+	b.submitUnchecked(2, definer.Step{Count: 1, Need: cpus(6), LongRunning: true, Label: b.record(2).Rack})
+	b.submitUnchecked(3, definer.Step{Count: 1, Need: cpus(6), LongRunning: true, Label: b.record(5).Rack})
+	b.step()
+	c.Assert([]tracker.TargetID{b.targetOf(task), b.targetOf(definer.TaskID{Job: 2}), b.targetOf(definer.TaskID{Job: 3})},
+		quicktest.DeepEquals, []tracker.TargetID{"t1", "t2", "t5"})
+	for id := definer.JobID(100); id < 140; id++ { // fill t3 and t4
+		b.p.Submit(&planner.Submission{Host: host, Path: "/queue2/" + id.String(), Job: &definer.Job{
+			ID: id, Spec: "spec", Steps: []definer.Step{{Count: 10, Need: cpus(4), Label: b.record(3).Rack, Estimate: time.Second}},
+		}}, func(planner.Answer) {}, b.now)
+	}
+	for range 40 {
+		b.step()
+	}
+	b.unresponsive = "t1"
+	lease := time.Duration(float64(b.p.Limits.LongLease) / (1 - b.p.Limits.DriftShare))
+	took := b.until(task, lease+12*time.Second)
+	c.Assert(took < lease+4*time.Second, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+}
+
+// The target with the least free capacity is named in the request for tickets; it has
+// to be the one that is held until the answer.
+func TestCapacityIsHeldWhereTicketsAreRequested(t *testing.T) {
+	c := quicktest.New(t)
+	b := &busyCell{harness: newHarness(c, 6), runTime: 20 * time.Second}
+	b.putTwoQueues(1, 2)
+	d := *b.p.State.Document
+	d.Version++
+	d.Queues = slices.Clone(d.Queues)
+	d.Queues[0].Licence, d.Queues[1].Licence = slowLicence, quickLicence
+	b.p.Put(&d, func() {}, b.now)
+	for i := range 4 {
+		b.p.AddLicenceProxy(planner.LicenceProxyID(fmt.Sprint("vm", i)), b.now)
+	}
+	task := definer.TaskID{Job: 1}
+	b.submitUnchecked(1, definer.Step{Count: 1, Need: cpus(4), LongRunning: true})
+	c.Assert(b.until(task, 3*time.Second) < 3*time.Second, quicktest.IsTrue)
+	submit := func(id definer.JobID, step definer.Step) {
+		step.Estimate = time.Second
+		b.p.Submit(&planner.Submission{Host: host, Path: "/queue2/" + id.String(), Job: &definer.Job{ID: id, Spec: "spec", Steps: []definer.Step{step}}},
+			func(planner.Answer) {}, b.now)
+	}
+	for i := range 3 { // t5 and t6 have less room than t3 and t4
+		submit(definer.JobID(10+i), definer.Step{Count: 2, Need: cpus(6), MaxPerTarget: 1, Label: b.record(5).Rack})
+		b.step()
+	}
+	for range 40 {
+		b.step()
+	}
+	for id := definer.JobID(100); id < 120; id++ {
+		submit(id, definer.Step{Count: 1, Need: cpus(4)})
+	}
+	b.fail(task)
+	took := b.until(task, 12*time.Second)
+	c.Assert(took < time.Second, quicktest.IsTrue, quicktest.Commentf("after %s; the service takes half a second", took))
+}
+
+// The cell is full when a target is lost. Tickets for the targets that become free
+// first are there when its lease has expired.
+func TestTicketsForFullTargetsAreRequestedBeforeALostTargetIsGivenUp(t *testing.T) {
+	c := quicktest.New(t)
+	b, task := newBusyCell(c, 1, 2, cpus(4), true)
+	b.unresponsive = b.targetOf(task)
+	took := b.until(task, 20*time.Second)
+	lease := time.Duration(float64(b.p.Limits.LongLease) / (1 - b.p.Limits.DriftShare))
+	c.Assert(took < lease+400*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %s, %s after the lease", took, took-lease))
+}
