Planner: end the precedence of a long-running task whose runs fail at once

What callers would see: a task of a queue with a higher priority that never gets the room of a long-running one with, say, a bad image, whose runs fail right after their start: each time the lost run preceded all other work.

After three runs in a row that failed within 2 s of the order, the task waits in the order of its priority, until a run has lasted for longer.

TestTaskOfHigherPriorityRunsBesideALongRunningOneThatFailsAgainAndAgain failed before.

--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -109,8 +109,9 @@
 	reruns         int       // runs beyond the first of each task
 	waiting        []waitingTask
 	waitLoggedAt   time.Time
-	lostRuns       int  // waiting tasks of a long-running step that have had a run; they are the first ones
-	holding        bool // capacity is held for it, and it has tickets for full targets
+	lostRuns       int         // waiting tasks of a long-running step that have had a run; they are the first ones
+	quickFailures  map[int]int // runs in a row of each task that failed soon after their start
+	holding        bool        // capacity is held for it, and it has tickets for full targets
 	admitted       map[tracker.TargetID]bool
 	tickets        map[tracker.TargetID]ticket
 	pendingRequest TicketRequestID // 0: none
@@ -258,6 +259,7 @@
 	if s == nil {
 		return
 	}
+	s.recordQuickFailure(r, how, now)
 	if s.rec.TasksLeft == 0 {
 		p.completeStep(s, now)
 		return
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -51,10 +51,10 @@
 }
 
 // countLostRuns sets lostRuns and moves those tasks to the front, the oldest loss
-// first.
+// first. Tasks whose runs fail at once don't count.
 func (s *step) countLostRuns() {
 	runRank := func(w waitingTask) int {
-		if s.rec.Tasks[w.index].LastRun > 0 {
+		if s.rec.Tasks[w.index].LastRun > 0 && s.quickFailures[w.index] < maxQuickFailures {
 			return 0
 		}
 		return 1
@@ -104,6 +104,28 @@
 	}
 }
 
+// recordQuickFailure counts the runs of a long-running task that fail in a row soon
+// after they have started. After some of them the task loses its precedence, as it
+// would occupy its targets again and again.
+func (s *step) recordQuickFailure(r *run, how tracker.End, now Moment) {
+	if !s.def.LongRunning || how != tracker.EndFailed {
+		return
+	}
+	if now.Monotonic.Sub(r.orderedAt) >= quickFailureTime {
+		delete(s.quickFailures, r.key.task.Index)
+		return
+	}
+	if s.quickFailures == nil {
+		s.quickFailures = make(map[int]int)
+	}
+	s.quickFailures[r.key.task.Index]++
+}
+
+const (
+	quickFailureTime = 2 * time.Second // after the order; a task is ready within a second
+	maxQuickFailures = 3
+)
+
 // fullCandidates returns targets without free capacity for which a step should have
 // tickets before there is some: those that are known to admit it first, and of
 // these the ones with the most free capacity.
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -308,6 +308,28 @@
 	return ""
 }
 
+// Runs of a long-running task with a low priority fail at once, again and again. A
+// task with a higher priority that needs the same target runs nevertheless.
+func TestTaskOfHigherPriorityRunsBesideALongRunningOneThatFailsAgainAndAgain(t *testing.T) {
+	c := quicktest.New(t)
+	b := &busyCell{harness: newHarness(c, 1), runTime: time.Second}
+	b.putTwoQueues(2, 1)
+	failing := definer.TaskID{Job: 1}
+	b.submitUnchecked(1, definer.Step{Count: 1, Need: registrar.Need{CPU: 12000, Memory: 1}, LongRunning: true})
+	b.step()
+	b.submitTo("queue2", 2, oneTask(cpus(8)))
+	begun := b.now.Monotonic
+	for b.now.Monotonic.Sub(begun) < 10*time.Second {
+		b.fail(failing)
+		for _, o := range b.step() {
+			if o.Task.Job == 2 {
+				return
+			}
+		}
+	}
+	c.Fatalf("not started within 10 s; %d runs of the other task", b.started)
+}
+
 // A step holds as much capacity as it has waiting tasks, not more.
 func TestStepHoldsCapacityOnceForEachWaitingTask(t *testing.T) {
 	c := quicktest.New(t)
