Let a replica with an empty disk join a leader that is no seed

What callers saw: after the loss of a disk, or the replacement of a VM, the new replica never received the log, and answered 503 to targets and operators. Each further loss took a voter for good until the cell had no quorum: no job accepted, documents unreadable, tasks that last not started again.

Cause: a replica without a log knows the seeds of its settings only. Its MsgJoin reaches these, and replicas that do not lead ignored it. A leader outside the seeds announces itself only when it is elected; its heartbeats to the former incarnation at the address are not for the new one.

Now a replica that does not lead forwards a join to its leader, once. A forwarded join does not count as a contact with its sender, nor as proof that the sender's predecessor has ended, since it may arrive late.

TestReplicaWithEmptyDiskJoinsLeaderThatIsNoSeed fails before, for a lost disk and for a new address, and passes now.

--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -106,6 +106,35 @@
 	c.Assert(voters, quicktest.Contains, d.members[4].core.ID)
 }
 
+// A replica without a log knows the seeds only, and none of them may lead.
+func TestReplicaWithEmptyDiskJoinsLeaderThatIsNoSeed(t *testing.T) {
+	for name, lose := range map[string]func(d *driver, m *member){"wiped": (*driver).wipe, "replaced": (*driver).replace} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			d := newOpenMembershipDriver(1, 3, 2)
+			d.faults = false
+			for _, m := range d.members[:3] {
+				d.seeds = append(d.seeds, m.name)
+			}
+			d.run(5 * time.Second)
+			lead, next := d.leader(), d.members[3]
+			transfer := replicator.Message{Type: replicator.MsgTimeoutNow, Group: 1, From: lead.core.ID, To: next.core.ID, Term: lead.core.Status().Term}
+			next.core.Step(transfer, d.clock(next))
+			d.run(time.Second)
+			c.Assert(d.leader(), quicktest.Equals, next)
+			lost := d.members[0]
+			lose(d, lost)
+			d.run(time.Second)
+			d.boot(lost)
+			d.run(20 * time.Second)
+			voters := d.leader().core.Status().Voters
+			c.Assert(voters, quicktest.HasLen, 5)
+			c.Assert(voters, quicktest.Contains, lost.core.ID)
+			c.Assert(d.leader(), quicktest.Equals, next)
+		})
+	}
+}
+
 // A restarted follower catches up over a slow link while the leader continues to
 // append. Replies are late because of the queue on the link; the leader must not
 // take that for loss and resend entries in flight.
--- a/internal/state/replicator/driver_test.go
+++ b/internal/state/replicator/driver_test.go
@@ -59,6 +59,7 @@
 	writing          *replicator.Ready // results that are being written
 	writeDoneAt      time.Duration     // end of that write
 	diskStalledUntil time.Duration     // writes end no sooner
+	lostUntil        time.Duration     // its disk counts as lost until then
 	rate             float64           // speed of its clock
 	skew             time.Duration
 	applied          []string // values in log order
@@ -97,8 +98,12 @@
 	nextRead       replicator.ReadID
 	faults         bool
 	wipes          int
+	tolerated      int  // disk losses at a time; 0: one in the schedule
 	openMembership bool // durable members become voters automatically
-	noCompaction   bool // no snapshots are taken
+	// seeds are the members that every member knows from its settings. A message to
+	// all reaches them and the senders' voters; nil: it reaches every member.
+	seeds        []string
+	noCompaction bool // no snapshots are taken
 	// linkRate limits links, in bytes per second. linkFreeAt is the time at which
 	// the link has carried all messages sent, sentBytes the bytes of their entries
 	// and chunks.
@@ -205,6 +210,7 @@
 		d.now += step
 		if d.faults {
 			d.injectFault()
+			d.trackLosses()
 		}
 		d.deliver()
 		for _, m := range d.members {
@@ -235,6 +241,10 @@
 		m.diskStalledUntil = d.now + time.Duration(d.rand.Intn(2000))*time.Millisecond
 	case 14:
 		switch {
+		case d.tolerated > 0:
+			if d.lostDisks() < d.tolerated && m.lostUntil <= d.now {
+				d.loseDisk(m)
+			}
 		case d.wipes > 0 || d.rand.Intn(4) > 0:
 		case d.openMembership && d.rand.Intn(2) == 0:
 			d.replace(m)
@@ -315,19 +325,23 @@
 	})
 	for _, x := range due {
 		for _, m := range d.members {
-			if m.core.ID != x.m.To && x.m.To != "" || m.name == replicator.NameOf(x.m.From) {
+			msg := x.m
+			if msg.To == replicator.ReplicaID(m.name+toAny) {
+				msg.To = ""
+			} else if m.core.ID != msg.To && msg.To != "" || m.name == replicator.NameOf(msg.From) {
 				continue
 			}
 			if m.down {
 				continue
 			}
 			if m.pause > 0 { // the kernel buffers messages to a paused process
-				x.at = d.now + step
-				x.m.To = m.core.ID
-				d.inflight = append(d.inflight, x)
+				if msg.To == "" {
+					msg.To = replicator.ReplicaID(m.name + toAny)
+				}
+				d.inflight = append(d.inflight, delivery{d.now + step, x.seq, msg})
 				continue
 			}
-			m.core.Step(x.m, d.clock(m))
+			m.core.Step(msg, d.clock(m))
 			d.flush(m)
 		}
 	}
@@ -348,9 +362,13 @@
 	}
 }
 
-func (d *driver) send(messages []replicator.Message) {
+func (d *driver) send(sender *member, messages []replicator.Message) {
 	for _, m := range messages {
-		from, to := replicator.NameOf(m.From), replicator.NameOf(m.To)
+		if m.To == "" && d.seeds != nil {
+			d.send(sender, d.addressToPeers(sender, m))
+			continue
+		}
+		from, to := sender.name, replicator.NameOf(m.To)
 		if d.blocked[[2]string{from, to}] || d.faults && d.rand.Intn(30) == 0 {
 			continue
 		}
@@ -372,6 +390,27 @@
 	}
 }
 
+// addressToPeers returns a message to all as one to each member that its sender
+// knows, whatever that member's incarnation is.
+func (d *driver) addressToPeers(sender *member, m replicator.Message) []replicator.Message {
+	known := slices.Clone(d.seeds)
+	for _, id := range sender.core.Status().Voters {
+		known = append(known, replicator.NameOf(id))
+	}
+	var out []replicator.Message
+	for _, x := range d.members {
+		if x != sender && slices.Contains(known, x.name) {
+			m.To = replicator.ReplicaID(x.name + toAny)
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// toAny takes the place of the incarnation in the receiver of a message that
+// every incarnation accepts.
+const toAny = ".any"
+
 // linkDelay returns the time until a rate-limited link has carried a message.
 func (d *driver) linkDelay(link [2]string, m replicator.Message) time.Duration {
 	rate := d.linkRate[link]
@@ -396,10 +435,10 @@
 	if m.writing != nil && d.now >= m.writeDoneAt {
 		d.finishWrite(m)
 	}
-	d.send(m.core.TakeImmediate())
+	d.send(m, m.core.TakeImmediate())
 	for m.writing == nil && m.core.HasReady() {
 		r := m.core.Ready()
-		d.send(r.Immediate)
+		d.send(m, r.Immediate)
 		m.writing, m.writeDoneAt = &r, max(d.now, m.diskStalledUntil)
 		if r.Snapshot != nil {
 			m.restore(*r.Snapshot)
@@ -427,7 +466,7 @@
 	m.writing = nil
 	m.write(r)
 	m.core.Advance()
-	d.send(r.AfterSave)
+	d.send(m, r.AfterSave)
 }
 
 func (m *member) write(r *replicator.Ready) {
--- a/internal/state/replicator/learner.go
+++ b/internal/state/replicator/learner.go
@@ -16,12 +16,21 @@
 // without one of six voters, the quorum is three of five instead of four of six.
 
 // handleJoin starts or resumes replication to the sender. Replicas that do not
-// lead ignore it.
+// lead forward the message, since the leader need not be among the replicas that
+// the sender knows.
 func (c *Core) handleJoin(m Message, now time.Time) {
+	forwarded := m.To != ""
 	if c.role != Leader {
+		if !forwarded && c.leader != "" && c.leader != m.From {
+			m.To = c.leader
+			c.immediate = append(c.immediate, m)
+		}
 		return
 	}
 	p := c.progress[m.From]
+	if p != nil && forwarded {
+		return // it is not a contact with the sender
+	}
 	if p == nil {
 		p = c.addProgress(m.From, now)
 		p.learner = !slices.Contains(c.voters, m.From)
--- a/internal/state/replicator/stickiness.go
+++ b/internal/state/replicator/stickiness.go
@@ -53,9 +53,10 @@
 		return
 	}
 	// A restarted replica receives no messages that an earlier process at the
-	// leader's address has sent, so a different id with that name is the leader's
-	// successor.
-	if c.restarted && m.From != c.leaseGrant.leader && NameOf(m.From) == NameOf(c.leaseGrant.leader) {
+	// leader's address has sent, unless another replica has forwarded them, so a
+	// different id with that name is the leader's successor.
+	forwarded := m.Type == MsgJoin && m.To != ""
+	if c.restarted && !forwarded && m.From != c.leaseGrant.leader && NameOf(m.From) == NameOf(c.leaseGrant.leader) {
 		c.clearLeaseGrant(now)
 	}
 }
