Let a replica campaign until its removal from the voters is committed

What callers would see: no leader for good, so no job accepted and no document read, after the disk of one replica was lost.

Cause: a change of the voters takes effect when it is appended. If the entry that removes a voter has reached only that voter when the leader loses its disk, the removed one does not campaign, as it is no voter by its own log, and rejects the others, whose logs end before that entry. Without its vote the others are no quorum of the former voters.

A replica now starts elections until its removal is committed, provided that the voters before that entry include it. It needs a quorum of the remaining voters, commits the removal as a leader and steps down then.

--- a/internal/state/replicator/core.go
+++ b/internal/state/replicator/core.go
@@ -217,6 +217,13 @@
 // IsVoter reports whether this replica is a voter.
 func (c *Core) IsVoter() bool { return slices.Contains(c.voters, c.ID) }
 
+// mayCampaign reports whether this replica may start elections. Until its removal
+// from the voters is committed, the others may be no quorum without its vote, which
+// it does not give to a replica without the entry of the removal.
+func (c *Core) mayCampaign() bool {
+	return c.IsVoter() || c.commit < c.votersIndex && slices.Contains(c.votersAt(c.votersIndex-1), c.ID)
+}
+
 // Status returns a snapshot of the replica's state.
 func (c *Core) Status() Status {
 	st := Status{ID: c.ID, Role: c.role, Term: c.term, Leader: c.leader, Voters: c.voters, Commit: c.commit}
--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -135,6 +135,36 @@
 	}
 }
 
+// The leader loses its disk when the removal of a voter has reached only that voter,
+// whose vote the others need.
+func TestLeaderIsElectedAfterUncommittedRemovalOfVoter(t *testing.T) {
+	c := quicktest.New(t)
+	d := newOpenMembershipDriver(1, 4, 0)
+	d.faults = false
+	d.run(3 * time.Second)
+	lead := d.leader()
+	var removed *member
+	for _, m := range d.members {
+		switch {
+		case m == lead:
+		case removed == nil:
+			removed = m
+		default:
+			m.pause = time.Second
+			d.blocked[[2]string{lead.name, m.name}] = true
+		}
+	}
+	c.Assert(lead.core.RemoveVoter(removed.core.ID, d.clock(lead)), quicktest.IsNil)
+	for n := 0; removed.core.IsVoter(); n++ {
+		c.Assert(n < 100, quicktest.IsTrue)
+		d.run(10 * time.Millisecond)
+	}
+	d.wipe(lead)
+	clear(d.blocked)
+	d.run(5 * time.Second)
+	c.Assert(d.leader(), quicktest.IsNotNil)
+}
+
 // A restarted follower catches up over a slow link while the leader continues to
 // append. Replies are late because of the queue on the link; the leader must not
 // take that for loss and resend entries in flight.
--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -18,7 +18,7 @@
 		c.tickLeader(now)
 		return
 	}
-	if !c.IsVoter() {
+	if !c.mayCampaign() {
 		c.tickLearner(now)
 		return
 	}
@@ -32,7 +32,7 @@
 	switch {
 	case c.role == Leader:
 		return c.lastHeartbeat.Add(c.Timing.Heartbeat)
-	case c.IsVoter():
+	case c.mayCampaign():
 		return c.electionDeadline
 	}
 	due := c.lastLeaderContact.Add(c.leaderLossTimeout())
