--- a/internal/state/replicator/final_fault_test.go
+++ b/internal/state/replicator/final_fault_test.go
@@ -62,11 +62,11 @@
 	return append(first, rest...)[:count]
 }
 
-func (s *disk) holds(value string) bool {
-	if slices.Contains(splitValues(s.saved.Snapshot.Data), value) {
+func (d *disk) holds(value string) bool {
+	if slices.Contains(splitValues(d.saved.Snapshot.Data), value) {
 		return true
 	}
-	return slices.ContainsFunc(s.saved.Entries, func(e replicator.Entry) bool {
+	return slices.ContainsFunc(d.saved.Entries, func(e replicator.Entry) bool {
 		return e.Type == replicator.EntryNormal && string(e.Data) == value
 	})
 }
