--- a/internal/state/storer/storer.go
+++ b/internal/state/storer/storer.go
@@ -69,6 +69,15 @@
 	Close() error
 }
 
+// Files is the part of the file system that a Storer writes to. Tests inject
+// faults by it.
+type Files interface {
+	Create(path string) (File, error) // fails if the file exists
+	Rename(from, to string) error
+	Remove(path string) error
+	SyncFolder(path string) error
+}
+
 // record is the payload of a frame: the hard state and entries of one write.
 type record struct {
 	Hard    replicator.HardState `cbor:"1,keyasint"`
@@ -78,8 +87,7 @@
 // Storer stores the state of one replica. Folder must be set before Open.
 type Storer struct {
 	Folder string
-	// Create creates the file of a segment; nil uses os.OpenFile.
-	Create func(path string) (File, error)
+	Files  Files // nil: those of the operating system
 
 	lock          *os.File
 	segment       File
@@ -103,7 +111,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	return writeFileAtomic(folder, identityName, appendFrame(nil, 0, data))
+	return writeFileAtomic(systemFiles{}, folder, identityName, appendFrame(nil, 0, data))
 }
 
 // ReadIdentity returns the identity of a folder. ok is false if it has none.
@@ -234,7 +242,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		if err := writeFileAtomic(s.Folder, snapshotName, appendFrame(nil, uint64(snap.Index), data)); err != nil {
+		if err := writeFileAtomic(s.files(), s.Folder, snapshotName, appendFrame(nil, uint64(snap.Index), data)); err != nil {
 			return err
 		}
 		s.snapshotIndex = snap.Index
@@ -251,17 +259,17 @@
 	}
 	s.lastSegment++
 	path := s.segmentPath(s.lastSegment)
-	f, err := s.create(path)
+	f, err := s.files().Create(path)
 	if err != nil {
 		return errors.Annotate(err, "storage: create segment")
 	}
 	err = s.writeFrame(f, path, hard, entries)
 	if err == nil {
-		err = syncFolder(s.Folder)
+		err = s.files().SyncFolder(s.Folder)
 	}
 	if err != nil {
 		_ = f.Close()
-		_ = os.Remove(path) // frees the space on a full disk; the older segments hold the synced data
+		_ = s.files().Remove(path) // frees the space on a full disk; the older segments hold the synced data
 		return err
 	}
 	if s.segment != nil {
@@ -270,17 +278,17 @@
 	s.segment, s.segmentNumber = f, s.lastSegment
 	for _, n := range old {
 		if n < s.segmentNumber {
-			_ = os.Remove(s.segmentPath(n))
+			_ = s.files().Remove(s.segmentPath(n))
 		}
 	}
 	return nil
 }
 
-func (s *Storer) create(path string) (File, error) {
-	if s.Create != nil {
-		return s.Create(path)
+func (s *Storer) files() Files {
+	if s.Files != nil {
+		return s.Files
 	}
-	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+	return systemFiles{}
 }
 
 func (s *Storer) segmentPath(n uint64) string {
@@ -306,10 +314,11 @@
 	return out, nil
 }
 
-func writeFileAtomic(folder, name string, data []byte) error {
+func writeFileAtomic(files Files, folder, name string, data []byte) error {
 	path := filepath.Join(folder, name)
 	temp := path + ".new"
-	f, err := os.OpenFile(temp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, fileMode)
+	_ = files.Remove(temp) // left by an earlier attempt
+	f, err := files.Create(temp)
 	if err != nil {
 		return errors.Annotate(err, "storage: create file")
 	}
@@ -323,14 +332,29 @@
 	if err != nil {
 		return errors.Annotatef(err, "storage: write %s", temp)
 	}
-	if err := os.Rename(temp, path); err != nil {
+	if err := files.Rename(temp, path); err != nil {
 		return errors.Annotatef(err, "storage: rename %s", temp)
 	}
-	return syncFolder(folder)
+	return files.SyncFolder(folder)
 }
 
-func syncFolder(folder string) error {
-	f, err := os.Open(folder)
+// systemFiles are the files of the operating system.
+type systemFiles struct{}
+
+// Create creates a file for writing.
+func (systemFiles) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, fileMode)
+}
+
+// Rename replaces to by from.
+func (systemFiles) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file.
+func (systemFiles) Remove(path string) error { return os.Remove(path) }
+
+// SyncFolder makes the names in a folder durable.
+func (systemFiles) SyncFolder(path string) error {
+	f, err := os.Open(path)
 	if err != nil {
 		return errors.Annotate(err, "storage: open folder")
 	}
--- a/internal/state/storer/storer_test.go
+++ b/internal/state/storer/storer_test.go
@@ -173,6 +173,14 @@
 	c.Assert(err, quicktest.ErrorMatches, ".*in use by another process")
 }
 
+// filesCreatedBy are files whose creation alone is replaced.
+type filesCreatedBy func(path string) (storer.File, error)
+
+func (create filesCreatedBy) Create(path string) (storer.File, error) { return create(path) }
+func (filesCreatedBy) Rename(from, to string) error                   { return os.Rename(from, to) }
+func (filesCreatedBy) Remove(path string) error                       { return os.Remove(path) }
+func (filesCreatedBy) SyncFolder(string) error                        { return nil }
+
 // faultyFile fails to write or to sync from a given call on. A failed write is
 // torn.
 type faultyFile struct {
@@ -204,12 +212,12 @@
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			folder := prepare(c)
-			s := &storer.Storer{Folder: folder, Create: func(path string) (storer.File, error) {
+			s := &storer.Storer{Folder: folder, Files: filesCreatedBy(func(path string) (storer.File, error) {
 				f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY, 0o600)
 				faulty := fault
 				faulty.File = f
 				return &faulty, err
-			}}
+			})}
 			_, _, err := s.Open(identity)
 			c.Assert(err, quicktest.IsNil)
 			c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 2, 1)), quicktest.IsNil)
@@ -250,7 +258,7 @@
 	c := quicktest.New(t)
 	folder := prepare(c)
 	disk := &faultyDisk{}
-	s := &storer.Storer{Folder: folder, Create: disk.create}
+	s := &storer.Storer{Folder: folder, Files: filesCreatedBy(disk.create)}
 	_, _, err := s.Open(identity)
 	c.Assert(err, quicktest.IsNil)
 	hard := replicator.HardState{Term: 1}
@@ -275,7 +283,7 @@
 	c.Assert(s.Save(replicator.HardState{Term: 1}, entries(1, 3, 1)), quicktest.IsNil)
 	c.Assert(s.Close(), quicktest.IsNil)
 	disk := &faultyDisk{full: true}
-	full := &storer.Storer{Folder: folder, Create: disk.create}
+	full := &storer.Storer{Folder: folder, Files: filesCreatedBy(disk.create)}
 	_, saved, err := full.Open(identity)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(saved.Entries, quicktest.DeepEquals, entries(1, 3, 1))
