Unlock the data folder after a failed open

What callers see: a daemon whose disk can't be read for a moment while it starts logs "data folder can't be written; retrying", and its next attempt ends with "in use by another process". The process ends instead of waiting.

Cause: Open locks the folder before it reads the identity and the log. After an error the lock's file stayed open in the same process, and the retry opens the folder with another Storer.

Evidence: TestFolderCanBeOpenedAfterFailedOpen failed before with "storage: ... is in use by another process".

Open now closes what it opened when it fails, so that a later open starts as the first one did.

--- a/internal/state/storer/storer.go
+++ b/internal/state/storer/storer.go
@@ -135,12 +135,20 @@
 }
 
 // Open locks the folder, checks that it belongs to want (cell, group and the
-// daemon's name) and loads its content.
+// daemon's name) and loads its content. After an error the folder is unlocked.
 func (s *Storer) Open(want Identity) (Identity, replicator.StoredState, error) {
-	var saved replicator.StoredState
 	if err := s.lockFolder(); err != nil {
-		return Identity{}, saved, err
+		return Identity{}, replicator.StoredState{}, err
+	}
+	id, saved, err := s.open(want)
+	if err != nil {
+		_ = s.Close()
 	}
+	return id, saved, err
+}
+
+func (s *Storer) open(want Identity) (Identity, replicator.StoredState, error) {
+	var saved replicator.StoredState
 	id, ok, err := ReadIdentity(s.Folder)
 	if err != nil {
 		return id, saved, err
@@ -190,6 +198,7 @@
 	}
 	if s.lock != nil {
 		_ = s.lock.Close()
+		s.lock = nil
 	}
 	return errors.Trace(err)
 }
--- a/internal/state/storer/storer_test.go
+++ b/internal/state/storer/storer_test.go
@@ -318,3 +318,21 @@
 		}
 	})
 }
+
+// An open that fails, as on a disk that can't be read for a time, is tried again
+// by the same process.
+func TestFolderCanBeOpenedAfterFailedOpen(t *testing.T) {
+	c := quicktest.New(t)
+	folder := prepare(c)
+	path := filepath.Join(folder, "IDENTITY")
+	c.Assert(os.Rename(path, path+".old"), quicktest.IsNil)
+	c.Assert(os.Mkdir(path, 0o750), quicktest.IsNil)
+	failed := &storer.Storer{Folder: folder}
+	_, _, err := failed.Open(identity)
+	c.Assert(err, quicktest.ErrorMatches, "storage: read identity: .*")
+	c.Assert(os.Remove(path), quicktest.IsNil)
+	c.Assert(os.Rename(path+".old", path), quicktest.IsNil)
+	s, _ := open(c, folder)
+	c.Assert(s.Close(), quicktest.IsNil)
+	c.Assert(failed.Close(), quicktest.IsNil)
+}
