Test a group of replicas whose disks are full one after another

The fault schedules had stalled disks but none that refuse writes, and their driver wrote without the retries of a Node. Disks that are full in turn and at random now run beside the other faults, and alone with a bound: within 4 s after the last one has room, the bound for the answer to an operator, a proposal is committed and every replica has applied it.

--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -28,6 +28,17 @@
 	return runFaultSchedule(newOpenMembershipDriver(seed, 3, int(seed%4)))
 }
 
+// fullDiskSchedule runs the fault schedule of a seed while disks are full, one
+// after another, beside the other faults.
+func fullDiskSchedule(seed int64, open bool) []string {
+	d := newDriver(seed, 5, 0)
+	if open {
+		d = newOpenMembershipDriver(seed, 3, 2)
+	}
+	d.fullDisks = true
+	return runFaultSchedule(d)
+}
+
 func runFaultSchedule(d *driver) []string {
 	for client := 0; client < 24 && len(d.problems) == 0; client++ {
 		d.run(time.Duration(50+d.rand.Intn(400)) * time.Millisecond)
@@ -81,6 +92,48 @@
 	}
 }
 
+func TestLogsAgreeWhileDisksAreFullInTurn(t *testing.T) {
+	for seed := range seedCount(300) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			quicktest.Assert(t, fullDiskSchedule(seed, seed%2 == 0), quicktest.HasLen, 0)
+		})
+	}
+}
+
+// After the disks of all voters were full, one after another, a change commits
+// within an election and a rewrite, and every replica catches up.
+func TestGroupCommitsAfterDisksWereFullInTurn(t *testing.T) {
+	const bound = 4 * time.Second
+	for seed := range seedCount(100) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			d := newOpenMembershipDriver(seed, 3, 2)
+			d.faults = false
+			d.run(5 * time.Second)
+			for n := 0; n < 2*len(d.members); n++ {
+				d.fullUntil = 0
+				d.fillDisks()
+				for client := 0; d.now < d.fullUntil; client++ {
+					d.run(time.Duration(20+d.rand.Intn(200)) * time.Millisecond)
+					d.runClientOperations(n*1000 + client)
+				}
+			}
+			before, end := len(d.history), d.now+bound
+			for client := 0; len(d.history) == before || d.lagging() > 0; client++ {
+				c.Assert(d.now < end, quicktest.IsTrue, quicktest.Commentf("%d of %d members lag behind, %d values committed since", d.lagging(), len(d.members), len(d.history)-before))
+				if len(d.history) == before {
+					d.runClientOperations(100000 + client)
+				}
+				d.run(100 * time.Millisecond)
+			}
+			c.Assert(d.problems, quicktest.HasLen, 0)
+			c.Assert(d.linearizable(), quicktest.IsTrue)
+		})
+	}
+}
+
 // These seeds failed before; the cause is given with each.
 func TestFormerlyFailingSeeds(t *testing.T) {
 	for seed, cause := range map[int64]string{
--- a/internal/state/replicator/driver_test.go
+++ b/internal/state/replicator/driver_test.go
@@ -54,12 +54,15 @@
 	core             *replicator.Core
 	disk             *disk
 	down             bool
-	crashedAt        time.Duration     // time of the last crash
-	pause            time.Duration     // time left
-	writing          *replicator.Ready // results that are being written
-	writeDoneAt      time.Duration     // end of that write
-	diskStalledUntil time.Duration     // writes end no sooner
-	rate             float64           // speed of its clock
+	crashedAt        time.Duration        // time of the last crash
+	pause            time.Duration        // time left
+	writing          *replicator.Ready    // results that are being written
+	writeDoneAt      time.Duration        // end of that write
+	diskStalledUntil time.Duration        // writes end no sooner
+	diskFullUntil    time.Duration        // writes fail before
+	rewriteAt        time.Duration        // of the next rewrite after a failed write; 0: none failed
+	unsent           []replicator.Message // to be sent once a rewrite has succeeded
+	rate             float64              // speed of its clock
 	skew             time.Duration
 	applied          []string // values in log order
 	index            registrar.Index
@@ -99,6 +102,9 @@
 	wipes          int
 	openMembership bool // durable members become voters automatically
 	noCompaction   bool // no snapshots are taken
+	fullDisks      bool // disks are full for a time, one after another and at random
+	nextFull       int  // member whose disk is full next
+	fullUntil      time.Duration
 	// linkRate limits links, in bytes per second. linkFreeAt is the time at which
 	// the link has carried all messages sent, sentBytes the bytes of their entries
 	// and chunks.
@@ -242,6 +248,9 @@
 			d.wipe(m)
 		}
 	}
+	if d.fullDisks {
+		d.fillDisks()
+	}
 	for _, x := range d.members {
 		if x.down && d.rand.Intn(60) == 0 {
 			d.boot(x)
@@ -252,6 +261,21 @@
 	}
 }
 
+// fillDisks makes the disks of the members full, one after another and never two
+// at once, each for up to three seconds. Half the time it is the leader's turn.
+func (d *driver) fillDisks() {
+	if d.now < d.fullUntil {
+		return
+	}
+	m := d.members[d.nextFull%len(d.members)]
+	d.nextFull++
+	if lead := d.leader(); lead != nil && d.rand.Intn(2) == 0 {
+		m = lead
+	}
+	m.diskFullUntil = d.now + time.Duration(100+d.rand.Intn(2900))*time.Millisecond
+	d.fullUntil = m.diskFullUntil + time.Duration(d.rand.Intn(500))*time.Millisecond
+}
+
 // reportRefused reports to one member that a connection to another one, which is
 // down, was refused. The report may be delayed.
 func (d *driver) reportRefused(crashed, by *member) {
@@ -275,10 +299,11 @@
 
 // crash stops a member. A write in progress may or may not reach its disk.
 func (d *driver) crash(m *member) {
-	if m.writing != nil && d.rand.Intn(2) == 0 {
+	if m.writing != nil && d.now >= m.diskFullUntil && d.rand.Intn(2) == 0 {
 		m.write(m.writing)
 	}
 	m.writing = nil
+	m.rewriteAt, m.unsent = 0, nil
 	m.down, m.crashedAt = true, d.now
 	d.dropOperations(m)
 }
@@ -397,7 +422,10 @@
 		d.finishWrite(m)
 	}
 	d.send(m.core.TakeImmediate())
-	for m.writing == nil && m.core.HasReady() {
+	if m.rewriteAt > 0 && d.now >= m.rewriteAt {
+		d.rewrite(m)
+	}
+	for m.writing == nil && m.rewriteAt == 0 && m.core.HasReady() {
 		r := m.core.Ready()
 		d.send(r.Immediate)
 		m.writing, m.writeDoneAt = &r, max(d.now, m.diskStalledUntil)
@@ -421,10 +449,34 @@
 	d.apply(m, m.core.TakeCommitted())
 }
 
+// rewriteDelay is the time from a failed write to the next rewrite.
+const rewriteDelay = 300 * time.Millisecond
+
+// rewrite writes the complete state of a member after a failed write, as a Node
+// does.
+func (d *driver) rewrite(m *member) {
+	state := m.core.FullState()
+	if state.Restore != nil {
+		m.restore(*state.Restore)
+	}
+	if d.now < m.diskFullUntil {
+		m.rewriteAt = d.now + rewriteDelay
+		return
+	}
+	_ = m.disk.Rewrite(state.Snapshot, state.Hard, slices.Clone(state.Entries))
+	m.core.Advance()
+	d.send(m.unsent)
+	m.rewriteAt, m.unsent = 0, nil
+}
+
 // finishWrite completes the write of a member.
 func (d *driver) finishWrite(m *member) {
 	r := m.writing
 	m.writing = nil
+	if d.now < m.diskFullUntil {
+		m.rewriteAt, m.unsent = d.now+rewriteDelay, r.AfterSave
+		return
+	}
 	m.write(r)
 	m.core.Advance()
 	d.send(r.AfterSave)
@@ -471,13 +523,17 @@
 
 func (d *driver) maybeCompact(m *member) {
 	entries, _ := m.core.LogSize()
-	if m.writing != nil || entries < 12 || d.rand.Intn(20) != 0 {
+	if m.writing != nil || m.rewriteAt > 0 || entries < 12 || d.rand.Intn(20) != 0 {
 		return
 	}
 	snap, rest, ok := m.core.Compact(m.index, joinValues(m.applied))
 	if !ok {
 		return
 	}
+	if d.now < m.diskFullUntil {
+		m.rewriteAt = d.now + rewriteDelay
+		return
+	}
 	_ = m.disk.SaveSnapshot(snap, m.disk.saved.Hard, rest)
 }
 
@@ -544,7 +600,7 @@
 	d.faults = false
 	clear(d.blocked)
 	for _, m := range d.members {
-		m.pause, m.diskStalledUntil, m.writeDoneAt = 0, 0, 0
+		m.pause, m.diskStalledUntil, m.diskFullUntil, m.writeDoneAt = 0, 0, 0, 0
 		if m.down {
 			d.boot(m)
 		}
@@ -552,6 +608,17 @@
 	d.run(15 * time.Second)
 }
 
+// lagging returns the number of members that have not applied all values.
+func (d *driver) lagging() int {
+	n := 0
+	for _, m := range d.members {
+		if len(m.applied) < len(d.history) {
+			n++
+		}
+	}
+	return n
+}
+
 type registerInput struct {
 	write bool
 	value string
