--- a/internal/state/replicator/node_test.go
+++ b/internal/state/replicator/node_test.go
@@ -169,6 +169,23 @@
 	c.Assert(n.list[leader].Status().Term, quicktest.Equals, term)
 }
 
+func TestLeaderWithFullDiskKeepsLeadingAndCommitting(t *testing.T) {
+	c := quicktest.New(t)
+	n := startCluster(t, 3)
+	eventually(c, "an election", func() bool { return n.leader() != "" })
+	leader := n.leader()
+	eventually(c, "the first commit", func() bool { return n.delivered(leader) > 0 })
+	n.disks[leader].set(nil, true)
+	before := n.delivered(leader)
+	n.propose(c, leader)
+	n.propose(c, leader)
+	eventually(c, "a commit by the other replicas", func() bool { return n.delivered(leader) >= before+2 })
+	term := n.list[leader].Status().Term
+	time.Sleep(2 * replicator.DefaultTiming.ElectionMax)
+	c.Assert(n.leader(), quicktest.Equals, leader)
+	c.Assert(n.list[leader].Status().Term, quicktest.Equals, term)
+}
+
 func TestReplicaCountsForCommitAgainAfterDiskFailure(t *testing.T) {
 	c := quicktest.New(t)
 	n := startCluster(t, 3)
