--- a/internal/state/replicator/core.go
+++ b/internal/state/replicator/core.go
@@ -111,9 +111,10 @@
 	lastSent        time.Time
 	learner         bool
 	durable         bool
-	snapshotOffset  int  // of the next chunk to send
-	sendingSnapshot bool // a snapshot is in transfer
-	probing         bool // match is not known yet: one message in flight at a time
+	snapshotOffset  int    // of the next chunk to send
+	snapshotSeq     uint64 // heartbeat round in which that offset was reached
+	sendingSnapshot bool   // a snapshot is in transfer
+	probing         bool   // match is not known yet: one message in flight at a time
 }
 
 // inflightMessage is an unacknowledged append with entries.
--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -326,3 +326,39 @@
 	c.Assert(d.leader().core.Status().Term, quicktest.Equals, term) // pre-vote did not increase the term
 	c.Assert(d.problems, quicktest.HasLen, 0)
 }
+
+// A follower whose disk is full delays its replies, so the leader sends a chunk of
+// the snapshot several times. The delayed replies must not multiply the chunks
+// that follow.
+func TestSnapshotIsSentOnceToFollowerWhoseDiskWasFull(t *testing.T) {
+	c := quicktest.New(t)
+	d := newDriver(1, 3, 0)
+	d.faults, d.noCompaction = false, true
+	d.run(3 * time.Second)
+	lead := d.leader()
+	lagging := d.members[0]
+	if lagging == lead {
+		lagging = d.members[1]
+	}
+	d.crash(lagging)
+	value := strings.Repeat("x", 4096)
+	for n := range 512 {
+		_, err := lead.core.Propose([]byte(fmt.Sprint(n, value)), d.clock(lead))
+		c.Assert(err, quicktest.IsNil)
+		d.run(step)
+	}
+	d.run(time.Second)
+	snap, rest, ok := lead.core.Compact(lead.index, joinValues(lead.applied))
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(lead.disk.SaveSnapshot(snap, lead.disk.saved.Hard, rest), quicktest.IsNil)
+	link := [2]string{lead.name, lagging.name}
+	d.linkRate, d.linkFreeAt, d.sentBytes = map[[2]string]int{link: 4 << 20}, map[[2]string]time.Duration{}, map[[2]string]int{}
+	d.boot(lagging)
+	d.run(300 * time.Millisecond)
+	lagging.diskFullUntil = d.now + 6*time.Second
+	d.run(6 * time.Second)
+	d.run(4 * time.Second)
+	c.Assert(lagging.applied, quicktest.DeepEquals, lead.applied)
+	c.Logf("sent %d bytes for a snapshot of %d", d.sentBytes[link], len(snap.Data))
+	c.Assert(float64(d.sentBytes[link]) < 1.5*float64(len(snap.Data)), quicktest.IsTrue, quicktest.Commentf("%d bytes were sent for a snapshot of %d", d.sentBytes[link], len(snap.Data)))
+}
--- a/internal/state/replicator/leader.go
+++ b/internal/state/replicator/leader.go
@@ -145,7 +145,7 @@
 func (c *Core) sendSnapshot(id ReplicaID, p *progress, now time.Time, heartbeat bool) {
 	snap := &c.log.snap
 	if !p.sendingSnapshot {
-		p.sendingSnapshot, p.snapshotOffset = true, 0
+		p.sendingSnapshot, p.snapshotOffset, p.snapshotSeq = true, 0, c.seq
 	} else if !heartbeat || now.Sub(p.lastSent) < resendHeartbeats*c.Timing.Heartbeat+snapshotChunkSize*time.Second/minLinkRate {
 		return
 	}
@@ -162,16 +162,23 @@
 	p.lastSent = now
 }
 
+// handleSnapshotReply sends the chunk that follows the bytes received. A chunk that
+// was sent again has several replies, of which only the first is followed by the
+// next chunk.
 func (c *Core) handleSnapshotReply(m Message, now time.Time) {
 	p := c.recordReply(m, now)
 	if p == nil || m.Chunk == nil || !p.sendingSnapshot {
 		return
 	}
-	if m.Chunk.Index != c.log.snap.Index {
-		p.snapshotOffset = 0 // the snapshot in transfer was replaced by a newer one
-	} else {
-		p.snapshotOffset = m.Chunk.Offset
+	offset, replaced := m.Chunk.Offset, m.Chunk.Index != c.log.snap.Index
+	if replaced {
+		offset = 0 // the snapshot in transfer was replaced by a newer one
 	}
+	stale := offset <= p.snapshotOffset && m.Seq < p.snapshotSeq
+	if stale || offset == p.snapshotOffset && !replaced {
+		return
+	}
+	p.snapshotOffset, p.snapshotSeq = offset, c.seq
 	c.sendChunk(m.From, p, &c.log.snap, now)
 }
 
