Reject pre-votes as a candidate, so that a late grant can't end a lease

Cause: a replica takes a granted pre-vote of a later term as proof that its sender doesn't lead, and ends the lease that it granted to it. A candidate could grant a pre-vote and still win its own term with votes on their way. The reply to the pre-vote waits for the disk, the new leader's first append doesn't, so the reply arrives after the append, and seconds after it from a full or stalled disk.

Evidence: TestLatePreVoteReplyOfNewLeaderKeepsItsLease failed before: the replica forgot its leader.

A candidate now rejects pre-votes until it gives its term up, which takes half an election timeout at most.

--- a/internal/state/replicator/election.go
+++ b/internal/state/replicator/election.go
@@ -146,7 +146,8 @@
 	upToDate := c.log.isUpToDate(m.Index, m.LogTerm) || c.Disabled&WithoutLogCheck != 0
 	canVote := m.Term > c.term || c.vote == "" || c.vote == m.From
 	if pre {
-		canVote = m.Term > c.term
+		// A candidate may still win its term, and a grant shows that it does not lead.
+		canVote = m.Term > c.term && c.role != Candidate
 	}
 	sticky := c.inLease(now) && !m.Force && c.Disabled&WithoutLeaderStickiness == 0
 	if sticky || !upToDate || !canVote || m.Term < c.term || pre && c.outranks(m) {
--- a/internal/state/replicator/stickiness_test.go
+++ b/internal/state/replicator/stickiness_test.go
@@ -1,11 +1,13 @@
 package replicator_test
 
 import (
+	"math/rand"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/state/replicator"
 )
 
@@ -145,3 +147,41 @@
 	c.Assert(st.Role, quicktest.Equals, replicator.Leader)
 	c.Assert(st.LeaseUntil.IsZero(), quicktest.IsTrue)
 }
+
+// A candidate grants a pre-vote, whose reply waits for its disk, and is elected
+// meanwhile. The late reply does not show that its leadership has ended.
+func TestLatePreVoteReplyOfNewLeaderKeepsItsLease(t *testing.T) {
+	c := quicktest.New(t)
+	voters := []replicator.ReplicaID{"a.1", "b.1", "c.1"}
+	now := epoch
+	start := func(id replicator.ReplicaID, term registrar.Term) *replicator.Core {
+		core := &replicator.Core{Group: 1, ID: id, Durable: true, Timing: replicator.DefaultTiming, Rand: rand.New(rand.NewSource(1))}
+		hard := replicator.HardState{Term: term, LeaderTerm: term}
+		core.Start(replicator.StoredState{Hard: hard, Snapshot: replicator.Snapshot{Voters: voters}}, now)
+		return core
+	}
+	message := func(kind replicator.MessageType, from, to replicator.ReplicaID, term registrar.Term) replicator.Message {
+		return replicator.Message{Type: kind, Group: 1, From: from, To: to, Term: term}
+	}
+	a, other := start("a.1", 4), start("c.1", 5)
+	now = now.Add(time.Second)
+	a.Tick(now)
+	a.Step(message(replicator.MsgPreVoteReply, "b.1", "a.1", 5), now)
+	c.Assert(a.Status().Role, quicktest.Equals, replicator.Candidate)
+	a.Ready()
+	a.Advance()
+	a.Step(message(replicator.MsgPreVote, "c.1", "a.1", 6), now)
+	a.Step(message(replicator.MsgVoteReply, "b.1", "a.1", 5), now)
+	c.Assert(a.Status().Role, quicktest.Equals, replicator.Leader)
+	r := a.Ready()
+	for _, m := range append(r.Immediate, r.AfterSave...) {
+		other.Step(m, now)
+	}
+	c.Assert(other.Status().Leader, quicktest.Equals, replicator.ReplicaID("a.1"))
+	other.Ready()
+	other.Advance()
+	other.Step(message(replicator.MsgVote, "b.1", "c.1", 6), now.Add(10*time.Millisecond))
+	replies := other.Ready().AfterSave
+	c.Assert(replies, quicktest.HasLen, 1)
+	c.Assert(replies[0].Reject, quicktest.IsTrue)
+}
