--- a/internal/state/replicator/full_disk_test.go
+++ b/internal/state/replicator/full_disk_test.go
@@ -250,19 +250,36 @@
 	g.start(n)
 }
 
+// describe returns the status of each node.
+func (g *diskGroup) describe() string {
+	var out strings.Builder
+	for _, n := range g.nodes {
+		st := n.node.Load().Status()
+		n.mu.Lock()
+		fmt.Fprintf(&out, "%s: %s, term %d, leader %q, commit %d, applied %d, voters %v, lease %t\n",
+			n.name, st.Role, st.Term, st.Leader, st.Commit, n.index, st.Voters, time.Now().Before(st.LeaseUntil))
+		n.mu.Unlock()
+	}
+	return out.String()
+}
+
 func (g *diskGroup) stop() {
 	for _, n := range g.nodes {
 		n.stop()
 	}
 }
 
+// leader returns the node that leads in the highest term, or nil. After a transfer
+// that failed it has no lease.
 func (g *diskGroup) leader() *diskNode {
+	var lead *diskNode
+	term := registrar.Term(0)
 	for _, n := range g.nodes {
-		if st := n.node.Load().Status(); st.Role == replicator.Leader && time.Now().Before(st.LeaseUntil) {
-			return n
+		if st := n.node.Load().Status(); st.Role == replicator.Leader && st.Term > term {
+			lead, term = n, st.Term
 		}
 	}
-	return nil
+	return lead
 }
 
 // propose proposes the next value at the leader, if there is one.
@@ -355,7 +372,7 @@
 				}
 				before, start := g.committed(), time.Now()
 				for g.committed() == before || g.lagging() > 0 {
-					c.Assert(time.Since(start) < commitBound, quicktest.IsTrue, quicktest.Commentf("%d values committed, %d nodes lag behind", g.committed()-before, g.lagging()))
+					c.Assert(time.Since(start) < commitBound, quicktest.IsTrue, quicktest.Commentf("%d values committed, %d nodes lag behind\n%s", g.committed()-before, g.lagging(), g.describe()))
 					if g.committed() == before {
 						g.propose()
 					}
