--- a/internal/state/replicator/core_test.go
+++ b/internal/state/replicator/core_test.go
@@ -28,6 +28,17 @@
 	return runFaultSchedule(newOpenMembershipDriver(seed, 3, int(seed%4)))
 }
 
+// fullDiskSchedule runs the fault schedule of a seed while disks are full, one
+// after another, beside the other faults.
+func fullDiskSchedule(seed int64, open bool) []string {
+	d := newDriver(seed, 5, 0)
+	if open {
+		d = newOpenMembershipDriver(seed, 3, 2)
+	}
+	d.fullDisks = true
+	return runFaultSchedule(d)
+}
+
 func runFaultSchedule(d *driver) []string {
 	for client := 0; client < 24 && len(d.problems) == 0; client++ {
 		d.run(time.Duration(50+d.rand.Intn(400)) * time.Millisecond)
@@ -81,6 +92,48 @@
 	}
 }
 
+func TestLogsAgreeWhileDisksAreFullInTurn(t *testing.T) {
+	for seed := range seedCount(300) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			quicktest.Assert(t, fullDiskSchedule(seed, seed%2 == 0), quicktest.HasLen, 0)
+		})
+	}
+}
+
+// After the disks of all voters were full, one after another, a change commits
+// within an election and a rewrite, and every replica catches up.
+func TestGroupCommitsAfterDisksWereFullInTurn(t *testing.T) {
+	const bound = 4 * time.Second
+	for seed := range seedCount(100) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			d := newOpenMembershipDriver(seed, 3, 2)
+			d.faults = false
+			d.run(5 * time.Second)
+			for n := 0; n < 2*len(d.members); n++ {
+				d.fullUntil = 0
+				d.fillDisks()
+				for client := 0; d.now < d.fullUntil; client++ {
+					d.run(time.Duration(20+d.rand.Intn(200)) * time.Millisecond)
+					d.runClientOperations(n*1000 + client)
+				}
+			}
+			before, end := len(d.history), d.now+bound
+			for client := 0; len(d.history) == before || d.lagging() > 0; client++ {
+				c.Assert(d.now < end, quicktest.IsTrue, quicktest.Commentf("%d of %d members lag behind, %d values committed since", d.lagging(), len(d.members), len(d.history)-before))
+				if len(d.history) == before {
+					d.runClientOperations(100000 + client)
+				}
+				d.run(100 * time.Millisecond)
+			}
+			c.Assert(d.problems, quicktest.HasLen, 0)
+			c.Assert(d.linearizable(), quicktest.IsTrue)
+		})
+	}
+}
+
 // These seeds failed before; the cause is given with each.
 func TestFormerlyFailingSeeds(t *testing.T) {
 	for seed, cause := range map[int64]string{
@@ -332,3 +385,39 @@
 	c.Assert(d.leader().core.Status().Term, quicktest.Equals, term) // pre-vote did not increase the term
 	c.Assert(d.problems, quicktest.HasLen, 0)
 }
+
+// A follower whose disk is full delays its replies, so the leader sends a chunk of
+// the snapshot several times. The delayed replies must not multiply the chunks
+// that follow.
+func TestSnapshotIsSentOnceToFollowerWhoseDiskWasFull(t *testing.T) {
+	c := quicktest.New(t)
+	d := newDriver(1, 3, 0)
+	d.faults, d.noCompaction = false, true
+	d.run(3 * time.Second)
+	lead := d.leader()
+	lagging := d.members[0]
+	if lagging == lead {
+		lagging = d.members[1]
+	}
+	d.crash(lagging)
+	value := strings.Repeat("x", 4096)
+	for n := range 512 {
+		_, err := lead.core.Propose([]byte(fmt.Sprint(n, value)), d.clock(lead))
+		c.Assert(err, quicktest.IsNil)
+		d.run(step)
+	}
+	d.run(time.Second)
+	snap, rest, ok := lead.core.Compact(lead.index, joinValues(lead.applied))
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(lead.disk.SaveSnapshot(snap, lead.disk.saved.Hard, rest), quicktest.IsNil)
+	link := [2]string{lead.name, lagging.name}
+	d.linkRate, d.linkFreeAt, d.sentBytes = map[[2]string]int{link: 4 << 20}, map[[2]string]time.Duration{}, map[[2]string]int{}
+	d.boot(lagging)
+	d.run(300 * time.Millisecond)
+	lagging.diskFullUntil = d.now + 6*time.Second
+	d.run(6 * time.Second)
+	d.run(4 * time.Second)
+	c.Assert(lagging.applied, quicktest.DeepEquals, lead.applied)
+	c.Logf("sent %d bytes for a snapshot of %d", d.sentBytes[link], len(snap.Data))
+	c.Assert(float64(d.sentBytes[link]) < 1.5*float64(len(snap.Data)), quicktest.IsTrue, quicktest.Commentf("%d bytes were sent for a snapshot of %d", d.sentBytes[link], len(snap.Data)))
+}
