Reproduce tasks that stay without a run in the simulator, failing

The simulator noticed what must not start, but not what does not start: a long-running task could stay without a run for the whole load, and all long- running jobs were cancelled as soon as the load ended.

The audit now checks every 100 ms, from what targets and callers see, that each task of a long-running step of a live job has a run. It is a problem if there is none for 3 s, from 6 s after the end of its last run or the acceptance of its job, with room for it twice over on a target that could take it at every sample, and without a fault in these 3 s and the 4 s before. From 14 s after the load has ended, no job may be without a run for 3 s with a task to start, room for it and under half of the capacity in use. Long-running jobs are cancelled only after that. Results tell the longest time without a run for each kind.

New schedules lose a fifth of the targets at once, some of them for good, with leaders, up to a burst of urgent jobs.

--- a/internal/load/emulator/audit.go
+++ b/internal/load/emulator/audit.go
@@ -23,6 +23,9 @@
 	CancelTime  time.Duration // from the answer to a cancellation to the last start
 	DrainTime   time.Duration // from the answer to a target that leaves to the last start there; 0: not checked
 	EarlyMargin time.Duration // a start may come this much before its time
+	RestartTime time.Duration // from the end of a run of a long-running step to the next one
+	IdleTime    time.Duration // for which a task may have no run with room for it
+	CalmBefore  time.Duration // without a fault before an IdleTime that counts
 	// Calm reports whether no fault has been near lately, so that gangs have no
 	// excuse.
 	Calm func(now time.Time) bool
@@ -38,6 +41,11 @@
 	submitted   bool
 	accepted    time.Time // when the caller was told
 	cancelled   time.Time // when the caller was told
+	cancelSent  bool
+	ended       bool          // the caller was shown its end
+	idleSince   time.Time     // it has had no run and room for one; zero: it has a run or no room
+	longestGap  time.Duration // of a task of a long-running step without a run
+	longestIdle time.Duration // the same with room for it
 }
 
 type auditedTask struct {
@@ -48,6 +56,9 @@
 	failures int  // acknowledged, while the target's lease went on
 	highest  tracker.RunNumber
 	starts   []time.Time
+	// endedAt is the end of its last run.
+	endedAt   time.Time
+	roomSince time.Time // as idleSince, after RestartTime without a run
 }
 
 // pastEnd is an end that may be acknowledged later.
@@ -184,13 +195,7 @@
 	if step.MaxPerTarget == 0 {
 		return
 	}
-	n := 0
-	for key := range r.target.runs {
-		if key.Task.StepID() == r.Key.Task.StepID() {
-			n++
-		}
-	}
-	if n > step.MaxPerTarget {
+	if n := r.target.StepRuns(r.Key.Task.StepID()); n > step.MaxPerTarget {
 		a.problem(now, "%d tasks of %s run on %s", n, r.Key.Task.StepID(), r.target.Record.ID)
 	}
 }
@@ -221,6 +226,9 @@
 func (a *Audit) ended(r *Run, how tracker.End, now time.Time) {
 	t := a.task(r.Key.Task)
 	delete(t.active, r.Key)
+	if now.After(t.endedAt) {
+		t.endedAt = now
+	}
 	switch {
 	case how == tracker.EndFailed:
 		t.failed = append(t.failed, pastEndOf(r, now))
--- a/internal/load/emulator/target.go
+++ b/internal/load/emulator/target.go
@@ -133,6 +133,23 @@
 	return n
 }
 
+// Free returns the capacity that no run takes.
+func (t *Target) Free() registrar.Need { return t.Record.Capacity.Minus(t.used) }
+
+// Sound reports whether the target is up and has no faults.
+func (t *Target) Sound() bool { return !t.down && t.faults == (Faults{}) }
+
+// StepRuns returns how many runs of a step the target has.
+func (t *Target) StepRuns(id definer.StepID) int {
+	n := 0
+	for key := range t.runs {
+		if key.Task.StepID() == id {
+			n++
+		}
+	}
+	return n
+}
+
 // SetFaults changes the target's faults.
 func (t *Target) SetFaults(f Faults, now time.Time) {
 	t.Advance(now)
--- a/internal/load/simulator/callers.go
+++ b/internal/load/simulator/callers.go
@@ -44,6 +44,7 @@
 	Admitted    float64 // share of targets that get a ticket
 	Burst       float64 // factor of the rate in the burst
 	Poison      float64 // share of jobs that can't be done
+	Initial     int     // jobs at the begin of the load
 }
 
 // KindResult tells how the callers of a kind were served.
@@ -51,6 +52,8 @@
 	Jobs, InTime, Late, Failed int
 	Credit, Owed               float64
 	Waits                      []time.Duration // from submission to completion, against the objective
+	LongestGap                 time.Duration   // of a task of a long-running step without a run
+	LongestIdle                time.Duration   // the same with room for it, from a restart time after its last run
 }
 
 // client is the caller of one job.
@@ -113,6 +116,9 @@
 
 func (s *Simulation) beginLoad() {
 	for i := range s.Mix {
+		for range s.Mix[i].Initial {
+			s.submitNew(i)
+		}
 		s.nextOf(i)
 	}
 }
@@ -308,6 +314,7 @@
 // settle counts how a job was served.
 func (s *Simulation) settle(c *client, right bool) {
 	c.over = true
+	s.audit.Ended(c.id)
 	k, r := &s.Mix[c.kind], &s.Result.Kinds[c.kind]
 	took := s.now.Sub(c.sent)
 	r.Waits = append(r.Waits, took-c.objective)
@@ -334,6 +341,7 @@
 		return
 	}
 	c.cancelled = true
+	s.audit.CancelSent(c.id)
 	k := &s.Mix[c.kind]
 	path := "/" + k.Name + "/" + c.id.String()
 	answered := false
--- a/internal/load/simulator/faults.go
+++ b/internal/load/simulator/faults.go
@@ -21,7 +21,10 @@
 	Cut    time.Duration // mean time between cuts of a target
 	Slow   time.Duration // mean time between spells of a slow, failing or hanging target
 	Drain  time.Duration // mean time between departures of a target
+	Group  time.Duration // mean time between crashes or departures of a fifth of the targets at once
+	Away   time.Duration // longest time until a target that crashed is back; 0: 8 s
 	SameID bool          // a target that crashed comes back under its id
+	Until  time.Duration // none goes wrong later; 0: to the end of the load
 }
 
 // Rough is a mix of everything.
@@ -32,6 +35,9 @@
 
 func (s *Simulation) scheduleFaults() {
 	f := &s.Faults
+	if f.Away == 0 {
+		f.Away = usualAway
+	}
 	s.every(f.Leader, s.loseLeader)
 	s.every(f.Freeze, s.freezeLeader)
 	s.every(f.Outage, s.losePower)
@@ -39,6 +45,28 @@
 	s.every(f.Cut, func() { s.cutHost(s.anyHost()) })
 	s.every(f.Slow, func() { s.weaken(s.anyHost()) })
 	s.every(f.Drain, func() { s.drain(s.anyHost()) })
+	s.every(f.Group, s.loseGroup)
+}
+
+// quiet reports whether the time of faults is over.
+func (s *Simulation) quiet() bool {
+	return s.healed || s.Faults.Until > 0 && s.now.Sub(s.begun) > s.Faults.Until
+}
+
+// loseGroup lets a fifth of the targets crash or leave. After a crash, some of them
+// stay away.
+func (s *Simulation) loseGroup() {
+	crash, away := s.rand.Intn(3) > 0, s.rand.Intn(3) == 0
+	n := max(len(s.targets)/5, 1)
+	for _, i := range s.rand.Perm(len(s.targets))[:n] {
+		h := s.targets[i]
+		if !crash {
+			s.drain(h)
+			continue
+		}
+		s.crash(h)
+		h.gone = h.gone || away && s.Faults.Away >= usualAway && s.rand.Intn(2) == 0
+	}
 }
 
 // every does something again and again, with random pauses of a mean length.
@@ -47,7 +75,7 @@
 		return
 	}
 	s.in(loadBegin+time.Duration(s.rand.ExpFloat64()*float64(mean)), func() {
-		if s.healed {
+		if s.quiet() {
 			return
 		}
 		do()
@@ -57,7 +85,7 @@
 
 func (s *Simulation) again(mean time.Duration, do func()) {
 	s.in(time.Duration(s.rand.ExpFloat64()*float64(mean)), func() {
-		if s.healed {
+		if s.quiet() {
 			return
 		}
 		do()
@@ -89,6 +117,11 @@
 	maxOutage = 12 * time.Second // longer than the longest lease
 )
 
+const (
+	minAway   = 200 * time.Millisecond
+	usualAway = 8 * time.Second
+)
+
 func (s *Simulation) crash(h *host) {
 	if h.target.Down() || h.gone {
 		return
@@ -101,7 +134,7 @@
 	if !s.Faults.SameID || s.rand.Intn(2) == 0 {
 		id += "'"
 	}
-	s.in(s.between(200*time.Millisecond, 8*time.Second), func() {
+	s.in(s.between(minAway, max(s.Faults.Away, minAway)), func() {
 		s.rebear(h, t, id)
 	})
 }
@@ -171,13 +204,17 @@
 // heal ends all faults.
 func (s *Simulation) heal() {
 	for _, h := range s.targets {
-		h.cut = false
+		h.cut, h.gone = false, false
 		if h.target.Down() {
 			s.bear(h, h.target.Record.ID+tracker.TargetID("~"))
 			continue
 		}
 		h.target.SetFaults(emulator.Faults{}, s.now)
 	}
+}
+
+// cancelLongRunning ends the jobs that do not end by themselves.
+func (s *Simulation) cancelLongRunning() {
 	for _, c := range s.sortedJobs() {
 		if s.Mix[c.kind].Lasting {
 			s.cancel(c)
--- a/internal/load/simulator/hosts.go
+++ b/internal/load/simulator/hosts.go
@@ -90,10 +90,10 @@
 }
 
 // late reports whether a call is one of those that are carried out late.
-func (s *Simulation) late() bool { return !s.healed && s.rand.Float64() < s.Faults.Late }
+func (s *Simulation) late() bool { return !s.quiet() && s.rand.Float64() < s.Faults.Late }
 
 // lost reports whether a call or its answer gets lost.
-func (s *Simulation) lost() bool { return !s.healed && s.rand.Float64() < s.Faults.Lost }
+func (s *Simulation) lost() bool { return !s.quiet() && s.rand.Float64() < s.Faults.Lost }
 
 func (s *Simulation) carryOut(actions []planner.Action) {
 	for _, a := range actions {
--- a/internal/load/simulator/mixes.go
+++ b/internal/load/simulator/mixes.go
@@ -32,3 +32,16 @@
 		},
 	}
 }
+
+// Auctions returns the mix of the auction houses: narrower quotes and wider batches
+// than in Shops, long-running jobs of many small tasks, some of them from the begin,
+// and a burst of quotes.
+func Auctions(factor, burst float64) []Kind {
+	mix := Shops(factor)
+	quote, batch, valuation := &mix[0], &mix[1], &mix[2]
+	quote.Width, quote.CPU, quote.Memory, quote.Burst = 3, 2200, 4100, burst
+	batch.Rate, batch.Width, batch.CPU, batch.Memory = batch.Rate/3, 14, 4500, 6500
+	valuation.Width, valuation.CPU, valuation.Memory, valuation.Apart = 20, 500, 700, 0.2
+	valuation.Initial, valuation.Stays = 4, 45*time.Second
+	return mix
+}
--- a/internal/load/simulator/simulator.go
+++ b/internal/load/simulator/simulator.go
@@ -6,6 +6,7 @@
 package simulator
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"maps"
@@ -30,6 +31,7 @@
 	Mix      []Kind
 	Faults   Faults
 	Licensed bool // queues need tickets
+	Proxies  int  // to the licensing service; 0: 5
 	// Configure, when set, alters each new planner.
 	Configure func(*planner.Planner)
 	// Trace, when set, is told what the leader decides and orders.
@@ -58,6 +60,8 @@
 	faultAt   time.Time // of the newest fault
 	weak      int       // spells of slow, failing or hanging targets that go on
 	healed    bool
+	loadEnd   time.Time
+	roughAt   time.Time                            // when there was last no leader, or a weak target
 	advisers  map[planner.LicenceProxyID]time.Time // when each has answered all calls
 	document  *definer.Document
 }
@@ -128,6 +132,8 @@
 }
 
 const (
+	finishTime = 14 * time.Second  // after the load, until each job has to get on
+	finishSpan = 5 * time.Second   // after that, until long-running jobs are cancelled
 	healTime   = 240 * time.Second // without faults, for all jobs to end; a step of 11 tasks may have one target to run on, one after the other
 	roundDelay = 5 * time.Millisecond
 	minCommit  = 8 * time.Millisecond // a synced write here and on another replica
@@ -141,8 +147,10 @@
 	s.open()
 	end := s.begun.Add(length)
 	s.play(end)
-	s.healed = true
+	s.healed, s.loadEnd = true, end
 	s.heal()
+	s.play(end.Add(finishTime + finishSpan))
+	s.cancelLongRunning()
 	s.play(end.Add(healTime))
 	s.finish()
 }
@@ -151,7 +159,8 @@
 	s.rand = rand.New(rand.NewSource(s.Seed))
 	s.begun = time.UnixMilli(1_800_000_000_000)
 	s.now = s.begun
-	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, DrainTime: drainTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm}
+	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, DrainTime: drainTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm,
+		RestartTime: 6 * time.Second, IdleTime: 3 * time.Second, CalmBefore: 4 * time.Second}
 	s.world = &emulator.World{Work: s.work, Audit: s.audit}
 	s.committed = tracker.New()
 	s.jobs = make(map[definer.JobID]*client)
@@ -164,6 +173,7 @@
 	s.elect(0)
 	s.in(50*time.Millisecond, func() { s.putDocument() })
 	s.in(loadBegin, func() { s.beginLoad() })
+	s.in(loadBegin, s.sample)
 	s.scheduleFaults()
 }
 
@@ -195,7 +205,7 @@
 			s.Configure(p)
 		}
 		p.Begin(term, s.moment())
-		for i := range advisers {
+		for i := range cmp.Or(s.Proxies, usualProxies) {
 			p.AddLicenceProxy(planner.LicenceProxyID(fmt.Sprintf("vm%d", i+1)), s.moment())
 		}
 		s.leader = &leadership{planner: p, replica: s.rand.Intn(replicas)}
@@ -325,6 +335,11 @@
 			}
 		}
 	}
+	for _, c := range s.jobs {
+		k := &s.Result.Kinds[c.kind]
+		gap, idle := s.audit.Gaps(c.id)
+		k.LongestGap, k.LongestIdle = max(k.LongestGap, gap), max(k.LongestIdle, idle)
+	}
 	if s.leader != nil {
 		s.Result.Counters = s.leader.planner.Counters
 	}
@@ -345,11 +360,11 @@
 }
 
 const (
-	calmTime   = 3 * time.Second
-	cancelTime = 3 * time.Second
-	drainTime  = 2500 * time.Millisecond
-	advisers   = 5
-	replicas   = 2 // that may lead
+	calmTime     = 3 * time.Second
+	cancelTime   = 3 * time.Second
+	drainTime    = 2500 * time.Millisecond
+	usualProxies = 5
+	replicas     = 2 // that may lead
 )
 
 func settings() planner.Settings {
--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -38,6 +38,19 @@
 	return normal
 }
 
+// schedulesOr returns the given seeds, or as many as MASTICROAD_SCHEDULES names.
+func schedulesOr(fixed ...int64) []int64 {
+	n := seeds(0)
+	if n == 0 {
+		return fixed
+	}
+	out := make([]int64, n)
+	for i := range out {
+		out[i] = int64(i)
+	}
+	return out
+}
+
 func TestSchedulesOfFaults(t *testing.T) {
 	for seed := range seeds(60) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
@@ -62,6 +75,65 @@
 	}
 }
 
+// newLossSchedule plays losses of targets and leaders. Crashed targets come back after
+// up to 8 s, or not at all.
+func newLossSchedule(seed int64) *simulator.Simulation {
+	return &simulator.Simulation{Seed: seed, Targets: mediumCell, Mix: simulator.Auctions(mediumShare, 1), Faults: losses, Licensed: seed%2 == 0}
+}
+
+// newOverloadSchedule plays them up to a burst that the licensing service can't keep
+// up with. Crashed targets come back soon.
+func newOverloadSchedule(seed int64) *simulator.Simulation {
+	s := &simulator.Simulation{Seed: seed, Targets: mediumCell, Mix: simulator.Auctions(mediumShare, 8), Faults: losses, Licensed: true, Proxies: 1}
+	s.Faults.Away = 1500 * time.Millisecond
+	return s
+}
+
+const (
+	mediumCell  = 12 // targets
+	mediumShare = float64(mediumCell) / 48
+	lossLength  = 32 * time.Second
+)
+
+var losses = simulator.Faults{
+	Lost: 0.01, Late: 0.01, Leader: 4 * time.Second, Crash: 4 * time.Second, Group: 3 * time.Second, SameID: true, Until: 12 * time.Second,
+}
+
+func logGaps(t *testing.T, s *simulator.Simulation) {
+	for i, k := range s.Result.Kinds {
+		if k.LongestGap > 0 {
+			t.Logf("%s: longest time of a task without a run %s, with room for it %s", s.Mix[i].Name, k.LongestGap, k.LongestIdle)
+		}
+	}
+}
+
+// Targets with long-running tasks are lost, some of them for good, and leaders with them.
+func TestLongRunningTasksOfLostTargetsRunAgain(t *testing.T) {
+	for _, seed := range schedulesOr(14, 21, 38) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newLossSchedule(seed)
+			s.Run(lossLength)
+			logGaps(t, s)
+			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
+// Long-running tasks lose their runs while a burst of urgent jobs takes all the
+// calls to the licensing service.
+func TestLongRunningTasksRunAgainUnderOverload(t *testing.T) {
+	for _, seed := range schedulesOr(0, 14, 22) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newOverloadSchedule(seed)
+			s.Run(lossLength)
+			logGaps(t, s)
+			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
 // The checks above must notice when a protection is switched off, under the
 // faults that it is there for.
 func TestSchedulesNoticeMissingProtections(t *testing.T) {
@@ -104,7 +176,8 @@
 	}
 }
 
-// TestTrace prints what one schedule decides and orders, for tracing a failure:
+// TestTrace prints what one schedule decides and orders, for tracing a failure. The
+// faults are outages, losses or overload, Rough otherwise:
 //
 //	MASTICROAD_TRACE=358 MASTICROAD_FAULTS=outages go test -run TestTrace -v ./internal/load/simulator
 func TestTrace(t *testing.T) {
@@ -112,12 +185,16 @@
 	if err != nil {
 		t.Skip("MASTICROAD_TRACE names no schedule")
 	}
-	faults := simulator.Rough
-	if os.Getenv("MASTICROAD_FAULTS") == "outages" {
-		faults = outages
+	s, played := newSchedule(seed, simulator.Rough), length
+	switch os.Getenv("MASTICROAD_FAULTS") {
+	case "outages":
+		s = newSchedule(seed, outages)
+	case "losses":
+		s, played = newLossSchedule(seed), lossLength
+	case "overload":
+		s, played = newOverloadSchedule(seed), lossLength
 	}
-	s := newSchedule(seed, faults)
 	s.Trace = func(at time.Duration, text string) { fmt.Println(at.Round(time.Millisecond), text) }
-	s.Run(length)
+	s.Run(played)
 	quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
 }
