Fill the disks of real processes one after another

A rehearsal can make the disks of its replicas full in turn: it sets the limit on file sizes of the running process to 0 and back, which makes every write to a file fail as on a full disk. Documents change meanwhile, and one more has to be acknowledged within 4 s, the bound for the answer to an operator, once the last disk has room. Daemons write their logs to a pipe, since the limit would apply to a log file too; -artifacts keeps the logs of a run.

--- a/internal/load/rehearser/injector.go
+++ b/internal/load/rehearser/injector.go
@@ -69,6 +69,47 @@
 	}
 }
 
+// fillDisks makes the disks of the replicas full, one after another and never two
+// at once, in random order until calm is closed.
+func (x *injector) fillDisks(ctx context.Context, calm <-chan struct{}) {
+	defer x.heal()
+	for {
+		for _, i := range x.rand.Perm(x.rehearsal.Replicas) {
+			p, lasts := x.rehearsal.procs[i], x.between(minFull, maxFull)
+			x.setDiskFull(p, true)
+			x.trace("disk of %s full for %s", p.node.Name, lasts.Round(time.Millisecond))
+			ended := !sleep(ctx, calm, lasts)
+			x.setDiskFull(p, false)
+			if ended || !sleep(ctx, calm, x.between(minPause, maxPause)) {
+				return
+			}
+		}
+	}
+}
+
+const (
+	minFull = time.Second
+	maxFull = 2 * time.Second
+)
+
+func (x *injector) setDiskFull(p *process, full bool) {
+	if err := p.setDiskFull(full); err != nil {
+		x.rehearsal.problem("%s: %v", p.node.Name, err)
+	}
+}
+
+// sleep waits and reports whether neither ctx nor calm has ended the wait.
+func sleep(ctx context.Context, calm <-chan struct{}, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-calm:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 func (x *injector) trace(format string, args ...any) {
 	if x.rehearsal.Trace != nil {
 		x.rehearsal.Trace(time.Since(x.rehearsal.begun).Round(time.Millisecond).String() + ": " + fmt.Sprintf(format, args...))
--- a/internal/load/rehearser/process.go
+++ b/internal/load/rehearser/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"masticroad/internal/load/mimic"
 	"masticroad/platform"
 )
@@ -27,6 +30,7 @@
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd // nil: it does not run
+	log    *os.File  // of the running process
 	paused bool
 	used   time.Duration // by its earlier processes
 }
@@ -42,13 +46,16 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Close() }() // the process has its own
 	cmd := exec.Command(p.program, "platform")
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.node.Settings)
-	cmd.Stdout, cmd.Stderr = log, log
+	// The process writes to a pipe, which its limit on file sizes does not apply to.
+	out := struct{ io.Writer }{log}
+	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
+		_ = log.Close()
 		return err
 	}
+	p.log = log
 	p.cmd = cmd
 	return nil
 }
@@ -81,10 +88,30 @@
 	timer := time.AfterFunc(stopLimit, func() { _ = p.cmd.Process.Kill() })
 	_ = p.cmd.Wait() // how it ended is in its log
 	timer.Stop()
+	_ = p.log.Close() // a log that can't be written is incomplete
 	p.cmd = nil
 	return true
 }
 
+// setDiskFull makes every write of the running process to a file fail, or ends
+// that. It sets the process's limit on file sizes.
+func (p *process) setDiskFull(full bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	var limit unix.Rlimit
+	if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &limit); err != nil {
+		return err
+	}
+	limit.Cur = limit.Max
+	if full {
+		limit.Cur = 0
+	}
+	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+}
+
 const stopLimit = 8 * time.Second // of a planned stop
 
 // end ends the daemon for good.
--- a/internal/load/rehearser/rehearser.go
+++ b/internal/load/rehearser/rehearser.go
@@ -44,7 +44,10 @@
 	Duration time.Duration // of sending
 	Seed     int64
 	Faults   bool
-	Profile  time.Duration // of processor profiles of the replicas; 0: none
+	// FullDisks replaces the faults by disks of replicas that are full, one after
+	// another.
+	FullDisks bool
+	Profile   time.Duration // of processor profiles of the replicas; 0: none
 	// Trace, when set, is told of each fault.
 	Trace func(text string)
 
@@ -138,13 +141,20 @@
 	calm := make(chan struct{})
 	if r.Faults {
 		faults := &injector{rehearsal: r, rand: rand.New(rand.NewSource(r.Seed))}
-		others.Go(func() { faults.run(ctx, calm) })
+		inject := faults.run
+		if r.FullDisks {
+			inject = faults.fillDisks
+		}
+		others.Go(func() { inject(ctx, calm) })
 		others.Go(func() { r.change(ctx, calm) })
 	}
 	jobs := r.send(ctx)
 	close(calm)
 	others.Wait()
 	after := r.processorTime()
+	if r.FullDisks {
+		r.checkChange(ctx)
+	}
 	jobs.Wait()
 	r.checkDocument(ctx)
 	return r.report(before, after), nil
@@ -334,6 +344,22 @@
 
 const changePause = 700 * time.Millisecond
 
+// checkChange checks that a change is acknowledged in time once all faults have
+// ended.
+func (r *Rehearsal) checkChange(ctx context.Context) {
+	r.mu.Lock()
+	r.put++
+	version := r.put
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if err := r.operator.Put(ctx, document(version)); err != nil {
+		r.problem("document %d was not acknowledged within %s after the faults: %v", version, changeTimeout, err)
+	}
+}
+
+const changeTimeout = 4 * time.Second // in which operators are answered by a cell without faults
+
 // checkDocument reads the document in force and compares it with the newest that
 // was acknowledged.
 func (r *Rehearsal) checkDocument(ctx context.Context) {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,22 +46,51 @@
 }
 
 func TestSoak(t *testing.T) {
-	c := quicktest.New(t)
+	program := build(t)
+	for _, seed := range seeds() {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			c := quicktest.New(t)
+			r := &rehearser.Rehearsal{
+				Program: program, Folder: t.ArtifactDir(), Faults: true, Seed: seed, Duration: 7 * time.Second, Trace: func(text string) { t.Log(text) },
+			}
+			report, err := r.Play(context.Background())
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(report.Problems, quicktest.HasLen, 0)
+			c.Assert(report.Done > 0, quicktest.IsTrue)
+		})
+	}
+}
+
+// build builds the program and returns its path.
+func build(t *testing.T) string {
 	program := filepath.Join(t.TempDir(), "masticroad")
 	build := exec.Command("go", "build", "-o", program, "masticroad/cmd/masticroad")
 	if out, err := build.CombinedOutput(); err != nil {
-		c.Fatalf("build: %v\n%s", err, out)
+		t.Fatalf("build: %v\n%s", err, out)
 	}
+	return program
+}
+
+// The disk of each replica is full for a while, one after another. Meanwhile no
+// change is lost, and afterwards changes are acknowledged in time.
+func TestChangesAreAcknowledgedAfterDisksWereFullInTurn(t *testing.T) {
+	program := build(t)
 	for _, seed := range seeds() {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			c := quicktest.New(t)
+			folder := t.ArtifactDir()
 			r := &rehearser.Rehearsal{
-				Program: program, Folder: t.TempDir(), Faults: true, Seed: seed, Duration: 7 * time.Second, Trace: func(text string) { t.Log(text) },
+				Program: program, Folder: folder, Replicas: 5, Faults: true, FullDisks: true, Seed: seed, Duration: 16 * time.Second, Trace: func(text string) { t.Log(text) },
 			}
 			report, err := r.Play(context.Background())
 			c.Assert(err, quicktest.IsNil)
 			c.Assert(report.Problems, quicktest.HasLen, 0)
 			c.Assert(report.Done > 0, quicktest.IsTrue)
+			for _, d := range report.Daemons[:r.Replicas] {
+				log, err := os.ReadFile(filepath.Join(folder, d.Name+".log"))
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(strings.Contains(string(log), "log can't be written"), quicktest.IsTrue, quicktest.Commentf("the disk of %s was never full", d.Name))
+			}
 		})
 	}
 }
