--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -44,15 +44,39 @@
 	j.failures[t] = now.Monotonic
 }
 
-// avoids reports whether the job should use other targets of its pool, as a run
-// has recently failed on this one. Attempts are few, and a faulty target may fail
-// the job again.
-func (j *job) avoids(t *target, poolSize int, now Moment) bool {
-	at, failed := j.failures[t]
-	return failed && now.Monotonic.Sub(at) < avoidAfterFailure && 2*len(j.failures) < poolSize
+// avoids reports whether a step should use other targets of its pool, as a run of
+// its job has recently failed on this one. Attempts are few, and a faulty target may
+// fail the job again. Labels and the licensing service may leave a step no others; a
+// long-running task, whose attempts aren't counted, waits only briefly for others.
+func (p *Planner) avoids(s *step, pl *pool, t *target, now Moment) bool {
+	at, failed := s.job.failures[t]
+	since := now.Monotonic.Sub(at)
+	if !failed || since >= avoidAfterFailure || 2*len(s.job.failures) >= len(pl.targets) {
+		return false
+	}
+	return since < maxAvoidWait || !s.def.LongRunning && p.hasAlternative(s, pl, now)
+}
+
+// hasAlternative reports whether a step may use a target, now or later, on which no
+// run of its job has failed.
+func (p *Planner) hasAlternative(s *step, pl *pool, now Moment) bool {
+	for _, t := range pl.targets {
+		if _, failed := s.job.failures[t]; failed || !p.isEligible(s, t, now) || !s.def.Charge().FitsIn(t.rec.Capacity) {
+			continue
+		}
+		if admitted, asked := s.admitted[t.rec.ID]; admitted || !asked {
+			return true
+		}
+	}
+	return false
 }
 
-const avoidAfterFailure = 8 * time.Second // faults of targets were observed to last 4 to 7 s
+const (
+	avoidAfterFailure = 8 * time.Second // faults of targets were observed to last 4 to 7 s
+	// maxAvoidWait bounds the wait for another target. Callers may rely on no task
+	// waiting for 3 s while there is free capacity.
+	maxAvoidWait = 1500 * time.Millisecond
+)
 
 // recordCompletion records the timing of a completed step. If this leader placed
 // none of its tasks, an earlier leader did.
@@ -83,7 +107,11 @@
 	waitingSince   time.Time // when its dependencies were done
 	placedAt       time.Time // when the first run of a task was decided, for the newest such task
 	reruns         int       // runs beyond the first of each task
-	waiting        []int     // tasks that are not done and have no run
+	waiting        []waitingTask
+	waitLoggedAt   time.Time
+	lostRuns       int         // waiting tasks of a long-running step that have had a run; they are the first ones
+	quickFailures  map[int]int // runs in a row of each task that failed soon after their start
+	holding        bool        // capacity is held for it, and it has tickets for full targets
 	admitted       map[tracker.TargetID]bool
 	tickets        map[tracker.TargetID]ticket
 	pendingRequest TicketRequestID // 0: none
@@ -181,7 +209,7 @@
 	s.latestStart = p.stepDeadline(j, id, now).Add(-j.criticalPaths[id.Step])
 	for i := range rec.Tasks {
 		if !rec.Tasks[i].Done && len(rec.Tasks[i].Runs) == 0 {
-			s.waiting = append(s.waiting, i)
+			s.addWaiting(i, now.Monotonic)
 		}
 	}
 	p.steps[id] = s
@@ -231,29 +259,20 @@
 	if s == nil {
 		return
 	}
+	s.recordQuickFailure(r, how, now)
 	if s.rec.TasksLeft == 0 {
 		p.completeStep(s, now)
 		return
 	}
 	task := &s.rec.Tasks[r.key.task.Index]
 	if !task.Done && len(task.Runs) == 0 {
-		s.addWaiting(r.key.task.Index)
+		s.addWaiting(r.key.task.Index, r.lastSeen(how, now))
 	}
 	if task.Done {
 		p.stopTask(j, r.key.task, "another copy is done", now)
 	}
 }
 
-// addWaiting makes a task wait for capacity again.
-func (s *step) addWaiting(index int) {
-	for _, i := range s.waiting {
-		if i == index {
-			return
-		}
-	}
-	s.waiting = append(s.waiting, index)
-}
-
 // completeStep removes a step that is done and enqueues the steps that depend on it.
 func (p *Planner) completeStep(s *step, now Moment) {
 	p.dropStep(s)
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -9,10 +9,10 @@
 	"masticroad/internal/workflow/tracker"
 )
 
-// This file decides where waiting tasks run. Steps are ordered by priority, then
-// by the latest start that meets their job's objective, so that of two steps with
-// the same priority and objective the one with the longer critical path goes
-// first.
+// This file decides where waiting tasks run. Long-running steps that have to be
+// restored go first, see restore.go. The others are ordered by priority, then by
+// the latest start that meets their job's objective, so that of two steps with the
+// same priority and objective the one with the longer critical path goes first.
 
 func (p *Planner) insertStep(s *step) {
 	i, _ := slices.BinarySearchFunc(p.stepsByPriority, s, compareSteps)
@@ -40,6 +40,15 @@
 // place starts the waiting tasks for which there is capacity.
 func (p *Planner) place(now Moment) {
 	p.beginPass()
+	p.releaseHolds()
+	for _, s := range p.stepsToRestore(now) {
+		if s.def.Gang {
+			p.placeGang(s, now)
+			continue
+		}
+		s.lostRuns -= p.placeTasks(s, s.lostRuns, now)
+	}
+	p.prepareRestore(now)
 	for _, s := range p.placementOrder(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
@@ -48,13 +57,16 @@
 			p.placeGang(s, now)
 			continue
 		}
-		p.placeTasks(s, now)
+		if others := len(s.waiting) - s.lostRuns; others > 0 {
+			p.placeTasks(s, others, now)
+		}
 	}
 }
 
 // placementOrder returns the steps in the order in which they are placed. Within a
 // priority, steps that can still meet their objective precede those that can't.
-// Otherwise, under overload, each late step would make the next one late.
+// Otherwise, under overload, each late step would make the next one late. A
+// long-running step is worth placing however late it is.
 func (p *Planner) placementOrder(now Moment) []*step {
 	out := make([]*step, 0, len(p.stepsByPriority))
 	for rest := p.stepsByPriority; len(rest) > 0; {
@@ -62,45 +74,58 @@
 		for n < len(rest) && rest[n].priority == rest[0].priority {
 			n++
 		}
-		late := 0
-		for late < n && rest[late].latestStart.Before(now.Monotonic) {
-			late++
+		var late []*step
+		for _, s := range rest[:n] {
+			if s.latestStart.Before(now.Monotonic) && !s.def.LongRunning {
+				late = append(late, s)
+				continue
+			}
+			out = append(out, s)
 		}
-		out = append(append(out, rest[late:n]...), rest[:late]...)
+		out = append(out, late...)
 		rest = rest[n:]
 	}
 	return out
 }
 
-func (p *Planner) placeTasks(s *step, now Moment) {
+// placeTasks starts up to limit waiting tasks of a step and returns how many it has
+// started.
+func (p *Planner) placeTasks(s *step, limit int, now Moment) int {
 	pl := p.pools[s.pool]
 	if pl == nil {
-		return
+		return 0
 	}
 	s.rack = p.requiredRack(s, pl, now)
+	started := 0
 	if t := p.choose(s, pl, now); t != nil {
-		p.startOn(s, pl, t, now)
+		started = p.startOn(s, pl, t, limit, now)
 	}
-	if len(s.waiting) > 0 {
-		p.findCapacity(s, pl, len(s.waiting), now)
+	if left := limit - started; left > 0 {
+		p.findCapacity(s, pl, left, now)
 		p.preempt(s, pl, now)
+		if s.holding {
+			p.holdCapacity(s, pl, left, now)
+		}
 	}
+	return started
 }
 
-// startOn starts the first waiting task of a step on a target, and further ones on
-// the best targets as long as there is capacity.
-func (p *Planner) startOn(s *step, pl *pool, t *target, now Moment) {
+// startOn starts the first waiting task of a step on a target, and further ones, up
+// to limit in all, on the best targets as long as there is capacity. It returns how
+// many it has started.
+func (p *Planner) startOn(s *step, pl *pool, t *target, limit int, now Moment) int {
 	starts := make(map[tracker.RunNumber][]tracker.Placement)
 	n := 0
 	for t != nil {
-		p.reserve(s, s.waiting[n], t, starts, now)
-		if n++; n == len(s.waiting) {
+		p.reserve(s, s.waiting[n].index, t, starts, now)
+		if n++; n == limit {
 			break
 		}
 		t = p.choose(s, pl, now)
 	}
-	s.waiting = append([]int(nil), s.waiting[n:]...)
+	s.waiting = slices.Clone(s.waiting[n:])
 	p.emitStarts(s, starts, now)
+	return n
 }
 
 // reserve charges a target with the next run of a task and adds it to starts, from
@@ -183,7 +208,7 @@
 // isFeasible reports whether one more task of a step may start on a target now,
 // tickets aside.
 func (p *Planner) isFeasible(s *step, pl *pool, t *target, now Moment) bool {
-	return p.isEligible(s, t, now) && p.fits(s, t) && !s.job.avoids(t, len(pl.targets), now)
+	return p.isEligible(s, t, now) && p.fits(s, t) && !p.avoids(s, pl, t, now)
 }
 
 // bestTarget keeps the target with the lowest score; ties go to the lowest id.
@@ -215,7 +240,7 @@
 
 // fits reports whether a target has capacity for one more task of the step.
 func (p *Planner) fits(s *step, t *target) bool {
-	if !s.def.Charge().FitsIn(t.rec.Capacity.Minus(t.used)) {
+	if !s.def.Charge().FitsIn(t.free()) {
 		return false
 	}
 	if s.def.BestEffortCPU && t.unusedCPU() < s.def.Need.CPU {
@@ -278,8 +303,8 @@
 	number++
 	var runs []*run
 	var placed []tracker.Placement
-	slices.Sort(s.waiting)
-	for _, index := range s.waiting {
+	slices.SortFunc(s.waiting, func(a, b waitingTask) int { return cmp.Compare(a.index, b.index) })
+	for _, w := range s.waiting {
 		t := p.choose(s, pl, now)
 		if t == nil {
 			p.unreserve(s, runs)
@@ -287,8 +312,8 @@
 			p.findCapacity(s, pl, len(s.waiting), now)
 			return
 		}
-		runs = append(runs, p.reserveRun(s, index, number, t, now))
-		placed = append(placed, tracker.Placement{Index: index, Target: t.rec.ID})
+		runs = append(runs, p.reserveRun(s, w.index, number, t, now))
+		placed = append(placed, tracker.Placement{Index: w.index, Target: t.rec.ID})
 	}
 	s.waiting = nil
 	p.emitStarts(s, map[tracker.RunNumber][]tracker.Placement{number: placed}, now)
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -63,11 +63,14 @@
 		s.markVMUp(ev.VMBack)
 	case ev.LeaseRaised != nil:
 		s.ShortLease = max(s.ShortLease, ev.LeaseRaised.Short)
+		if ev.LeaseRaised.Long > 0 {
+			s.LongLease = ev.LeaseRaised.Long
+		}
 	}
 }
 
-// putTarget adds or replaces a target. LongLease stays set for an incarnation,
-// since leases granted to it may still be valid.
+// putTarget adds or replaces a target. LongLease stays set for an incarnation, since
+// leases granted to it may still be valid.
 func (s *State) putTarget(t Target) {
 	if old := s.Targets[t.ID]; old != nil && old.Incarnation == t.Incarnation && old.LongLease {
 		t.LongLease = true
@@ -286,7 +289,7 @@
 // shared, and the labels of targets, which are replaced and never modified.
 func (s *State) Clone() *State {
 	c := New()
-	c.Applied, c.Clock, c.Document, c.ShortLease = s.Applied, s.Clock, s.Document, s.ShortLease
+	c.Applied, c.Clock, c.Document, c.ShortLease, c.LongLease = s.Applied, s.Clock, s.Document, s.ShortLease, s.LongLease
 	for id, j := range s.Jobs {
 		c.Jobs[id] = j.clone()
 	}
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -36,6 +36,9 @@
 	// ShortLease is the longest lease that any leader has granted to targets
 	// without LongLease; 0 if not known.
 	ShortLease time.Duration
+	// LongLease is the longest lease of a target with Target.LongLease that may not
+	// have expired at the start of a new leader; 0 if not known.
+	LongLease time.Duration
 
 	endedJobs []endedJob // in the order in which they ended
 }
@@ -144,9 +147,12 @@
 	// stale.
 	Sequence int64 `cbor:"14,keyasint,omitempty"`
 	// LongLease is set if runs of this incarnation may have been granted the long
-	// lease: a long-running task has been started here, or an order meant for an
-	// earlier incarnation may have reached this one.
+	// lease: a long-running task has been started here.
 	LongLease bool `cbor:"15,keyasint,omitempty"`
+	// AnyLease is set if an order meant for an earlier incarnation may have reached
+	// this one. Its deadline is a time on another clock, so that the lease may be the
+	// longest one that targets accept.
+	AnyLease bool `cbor:"16,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the target carries a label.
