--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -73,6 +73,7 @@
 	Disabled Mechanism // for tests that check that a missing mechanism is detected
 
 	term            registrar.Term
+	begunAt         time.Time
 	targets         map[tracker.TargetID]*target
 	byAddr          map[string]tracker.TargetID
 	pools           map[definer.PoolName]*pool
@@ -86,6 +87,7 @@
 	upkeep          upkeep
 	interference    map[imagePair]time.Time
 	scans           map[definer.PoolName]*poolScan // of the current pass
+	holding         []*target                      // with capacity held by the newest pass
 	proxiesFull     bool                           // no proxy accepts another ticket request in this pass
 	dirty           bool                           // placement has to run again
 	stepsByPriority []*step
@@ -125,6 +127,10 @@
 // Load is the size of what a leader manages.
 type Load struct {
 	Waiting, Running, Jobs, Targets, Unresponsive, Quarantined, TicketRequests int
+	// LongestOutage is the longest time that a task of a long-running step has
+	// been without a run that is known to be alive.
+	LongestOutage time.Duration
+	Untracked     int // tasks of started steps that neither have a run nor wait for one
 }
 
 // Load counts tasks, runs, jobs, targets and ticket requests.
@@ -142,6 +148,8 @@
 			l.Quarantined++
 		}
 	}
+	l.LongestOutage = p.longestOutage(now)
+	l.Untracked = len(p.UntrackedTasks())
 	return l
 }
 
@@ -155,7 +163,7 @@
 // earlier leader may have ordered is assumed to be running until its target has
 // answered a poll or the target's lease has expired.
 func (p *Planner) Begin(term registrar.Term, now Moment) {
-	p.term = term
+	p.term, p.begunAt = term, now.Monotonic
 	p.targets = make(map[tracker.TargetID]*target)
 	p.byAddr = make(map[string]tracker.TargetID)
 	p.pools = make(map[definer.PoolName]*pool)
@@ -168,6 +176,7 @@
 	p.upkeep = newUpkeep()
 	p.interference = make(map[imagePair]time.Time)
 	p.scans = make(map[definer.PoolName]*poolScan)
+	p.holding = nil
 	p.stepsByPriority = nil
 	p.round = Round{}
 	p.Counters = Counters{}
@@ -180,7 +189,7 @@
 			p.addJob(j, now)
 		}
 	}
-	p.recordShortLease(now)
+	p.recordLeases(now)
 	p.dirty = true
 }
 
@@ -234,6 +243,8 @@
 		p.checkProgress(now)
 		p.checkWaves(now)
 	}
+	p.logOutages(now)
+	p.recordLeases(now)
 	p.forgetEndedJobs(now)
 	p.dirty = true
 }
