--- a/internal/load/simulator/room.go
+++ b/internal/load/simulator/room.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"fmt"
 	"time"
 
 	"masticroad/internal/workflow/definer"
@@ -20,12 +21,24 @@
 	for _, h := range s.targets {
 		h.target.Advance(s.now)
 	}
+	s.checkTracking()
 	s.audit.CheckLongRunning(s.now, s.calmSpan(), s.room)
 	if s.healed && s.now.Sub(s.loadEnd) > finishTime {
 		s.audit.CheckProgress(s.now, s.usedShare(), s.room)
 	}
 }
 
+// checkTracking checks that the leader has a run for each task that can start, or
+// lets the task wait.
+func (s *Simulation) checkTracking() {
+	if s.leader == nil {
+		return
+	}
+	for _, id := range s.leader.planner.UntrackedTasks() {
+		s.audit.Problems = append(s.audit.Problems, fmt.Sprintf("%s: %s neither has a run nor waits for one", s.now.Sub(s.begun), id))
+	}
+}
+
 // calmSpan returns for how long no fault has gone on or was near.
 func (s *Simulation) calmSpan() time.Duration {
 	last := s.begun
--- a/internal/workflow/planner/leases.go
+++ b/internal/workflow/planner/leases.go
@@ -11,10 +11,11 @@
 // one lets their tasks start elsewhere sooner when the target is lost.
 // Long-running tasks benefit most from a long lease; others finish within the
 // short one or continue from a checkpoint. A long-running task of a lost target has
-// to run again within 9 s, of which the long lease leaves a part for its placement. The replicated state holds which lease
-// a target may have been granted, so that a new leader doesn't have to wait for
-// the longest: if a target without long-running tasks crashes during an election,
-// its tasks start elsewhere 3 s after the new leader has started.
+// to run again within 9 s, of which the long lease leaves a part for its placement.
+// The replicated state holds which lease a target may have been granted, so that a
+// new leader doesn't have to wait for the longest: if a target without long-running
+// tasks crashes during an election, its tasks start elsewhere 3 s after the new
+// leader has started.
 
 // leaseFor returns the length of the lease to grant to a target.
 func (p *Planner) leaseFor(t *target) time.Duration {
