--- a/internal/load/emulator/idle.go
+++ b/internal/load/emulator/idle.go
@@ -9,7 +9,7 @@
 	"masticroad/internal/workflow/tracker"
 )
 
-// This file notes tasks that have no run although a target has room for one.
+// This file detects tasks that have no run although a target has room for one.
 // Example of a problem:
 //
 //	31.2s: 00000000000000a1.0.0.2 has had no run since 14.6s, with room for it on t3 for 3s
@@ -18,13 +18,13 @@
 // more tasks as given, or an empty id.
 type Room func(id definer.StepID, step *definer.Step, tasks int) tracker.TargetID
 
-// CancelSent notes that a caller has asked to cancel a job.
+// CancelSent records that a caller has asked to cancel a job.
 func (a *Audit) CancelSent(id definer.JobID) { a.jobs[id].cancelSent = true }
 
-// Ended notes that a caller was shown that its job has ended.
+// Ended records that a caller was shown that its job has ended.
 func (a *Audit) Ended(id definer.JobID) { a.jobs[id].ended = true }
 
-// live reports whether a job has to go on.
+// live reports whether a job is accepted and has neither ended nor been cancelled.
 func (j *auditedJob) live() bool { return !j.accepted.IsZero() && !j.cancelSent && !j.ended }
 
 func (a *Audit) liveJobs() []*auditedJob {
--- a/internal/load/simulator/callers.go
+++ b/internal/load/simulator/callers.go
@@ -44,7 +44,7 @@
 	Admitted    float64 // share of targets that get a ticket
 	Burst       float64 // factor of the rate in the burst
 	Poison      float64 // share of jobs that can't be done
-	Initial     int     // jobs at the begin of the load
+	Initial     int     // jobs at the start of the load
 }
 
 // KindResult tells how the callers of a kind were served.
--- a/internal/load/simulator/mixes.go
+++ b/internal/load/simulator/mixes.go
@@ -34,7 +34,7 @@
 }
 
 // Auctions returns the mix of the auction houses: narrower quotes and wider batches
-// than in Shops, long-running jobs of many small tasks, some of them from the begin,
+// than in Shops, long-running jobs of many small tasks, some of them from the start,
 // and a burst of quotes.
 func Auctions(factor, burst float64) []Kind {
 	mix := Shops(factor)
--- a/internal/load/simulator/room.go
+++ b/internal/load/simulator/room.go
@@ -8,8 +8,8 @@
 	"masticroad/internal/workflow/tracker"
 )
 
-// This file looks at regular intervals for tasks that have no run although a target
-// has room for them.
+// This file samples the state at regular intervals for tasks that have no run
+// although a target has room for them.
 
 const sampleTime = 100 * time.Millisecond
 
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -57,6 +57,7 @@
 			p.placeGang(s, now)
 			continue
 		}
+		// The lost runs that are left found no capacity above.
 		if others := len(s.waiting) - s.lostRuns; others > 0 {
 			p.placeTasks(s, others, now)
 		}
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -167,7 +167,7 @@
 
 // freeLater returns the capacity that neither long-running tasks nor holds take.
 func (t *target) freeLater() registrar.Need {
-	return t.rec.Capacity.Minus(t.held).Minus(t.usedForGood)
+	return t.rec.Capacity.Minus(t.held).Minus(t.usedLongRunning)
 }
 
 // shortfall returns the capacity that a target lacks for one more task of a step, as
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -88,7 +88,7 @@
 	t.runs[key] = r
 	t.used = t.used.Plus(r.charge)
 	if def.LongRunning {
-		t.usedForGood = t.usedForGood.Plus(r.charge)
+		t.usedLongRunning = t.usedLongRunning.Plus(r.charge)
 	}
 	j.runs[key] = r
 	return r
@@ -98,7 +98,7 @@
 func (t *target) release(r *run) {
 	t.used = t.used.Minus(r.charge)
 	if r.def.LongRunning {
-		t.usedForGood = t.usedForGood.Minus(r.charge)
+		t.usedLongRunning = t.usedLongRunning.Minus(r.charge)
 	}
 }
 
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -17,11 +17,11 @@
 
 // target is the leader's view of one target.
 type target struct {
-	rec         *tracker.Target
-	used        registrar.Need
-	usedForGood registrar.Need // by long-running tasks
-	held        registrar.Need // by the present pass, for long-running tasks that wait; see holdCapacity
-	runs        map[runKey]*run
+	rec             *tracker.Target
+	used            registrar.Need
+	usedLongRunning registrar.Need // the part of used that long-running tasks take
+	held            registrar.Need // by the present pass, for long-running tasks that wait; see holdCapacity
+	runs            map[runKey]*run
 	// orphans are runs that it lists and the replicated state does not have.
 	orphans map[runKey]registrar.Need
 
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -127,7 +127,8 @@
 }
 
 // candidates returns the targets to name in a request: feasible targets that are
-// known to admit the step, followed by feasible targets that it never asked about.
+// known to admit the step, followed by feasible targets that it never asked about,
+// and by full targets if the step waits for capacity that is held for it.
 func (p *Planner) candidates(s *step, pl *pool, waiting int, now Moment) []tracker.TargetID {
 	var known, unknown []option
 	for _, t := range p.poolScan(pl, now).schedulable {
