Bound descriptors by purpose and tell unsent calls from unanswered ones

Cause: the leader opened up to 32 connections to each target and kept them idle, so that 1,100 targets took all of its 4,324 descriptors; calls that failed here for want of a descriptor counted as misses of the target and as starts that may have happened.

A call of which nothing has left the VM is reported as not sent: no miss, and proof of no start. Calls are checked for the age of their decision right before they are sent. Targets beyond the leader's share announce themselves at other daemons.

--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/fnv"
 
 	"masticroad/internal/peer/leader"
 	"masticroad/internal/state/replicator"
@@ -32,7 +33,7 @@
 	case req.Cancel != nil:
 		c.Planner.Cancel(req.Cancel.Host, req.Cancel.Path, answer, now)
 	case req.Announce != nil:
-		c.Planner.Announce(req.Announce, accepted, now)
+		c.Planner.Announce(req.Announce, func() { c.acknowledge(req) }, now)
 	case req.Depart != "":
 		c.Planner.Depart(req.Depart, accepted, now)
 	case req.Put != nil:
@@ -50,6 +51,16 @@
 	}
 }
 
+// acknowledge answers an announcement. Targets beyond MaxAnnouncers stay with the
+// daemons that they have called, as each keeps a connection open where it announces
+// itself.
+func (c *Coordinator) acknowledge(req *call) {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(req.Announce.Target.ID)) // never fails
+	rank := int(h.Sum32() % uint32(max(len(c.Planner.State.Targets), 1)))
+	req.reply(leader.Reply{ID: req.ID, Verdict: planner.Accepted, AtLeader: c.MaxAnnouncers == 0 || rank < c.MaxAnnouncers})
+}
+
 // read runs f as a linearizable read: at once while the leader lease is valid,
 // else after a majority has confirmed the leader.
 func (c *Coordinator) read(f func(), now planner.Moment) {
--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -60,6 +60,9 @@
 	// MaxBytes is the size of the log after the last snapshot at which the next
 	// snapshot is taken.
 	MaxBytes int
+	// MaxAnnouncers bounds the targets that are told to announce themselves at the
+	// leader. 0: no bound.
+	MaxAnnouncers int
 	// OnLeaderChange receives the address of the leader, empty if there is none,
 	// and its term, each time they change.
 	OnLeaderChange func(leader string, term registrar.Term)
--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -4,11 +4,14 @@
 
 import (
 	"context"
+	stderrors "errors"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"masticroad/internal/metrics/meter"
+	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/planner"
 	"masticroad/internal/workflow/tracker"
@@ -24,19 +27,29 @@
 	Clock   planner.ClockMillis
 }
 
+// Call holds the bounds of one call. The context that comes with it bounds the time
+// until there is a connection.
+type Call struct {
+	Timeout time.Duration // from when the call is sent until its answer
+	// Guard is called right before the call is sent; its error prevents that. A process
+	// may be paused between the decision and the connection.
+	Guard func() error
+}
+
 // Platform makes calls. An error means that there was no usable answer; the call
-// may still have been executed.
+// may still have been executed unless the error is a *connector.CallError that
+// excludes it.
 type Platform interface {
-	Start(ctx context.Context, o *planner.StartOrder) (Answer, error)
-	Stop(ctx context.Context, o *planner.StopOrder) (Answer, error)
-	Pace(ctx context.Context, o *planner.PaceOrder) (Answer, error)
+	Start(ctx context.Context, o *planner.StartOrder, c *Call) (Answer, error)
+	Stop(ctx context.Context, o *planner.StopOrder, c *Call) (Answer, error)
+	Pace(ctx context.Context, o *planner.PaceOrder, c *Call) (Answer, error)
 	// Poll polls a target and fills in r with its answer.
-	Poll(ctx context.Context, o *planner.PollOrder, r *planner.PollReport) error
+	Poll(ctx context.Context, o *planner.PollOrder, c *Call, r *planner.PollReport) error
 	// RequestTickets requests tickets for a step from the licensing service.
-	RequestTickets(ctx context.Context, step definer.StepID, targets []tracker.TargetID) (admitted map[tracker.TargetID]string, busy bool, err error)
+	RequestTickets(ctx context.Context, step definer.StepID, targets []tracker.TargetID, c *Call) (admitted map[tracker.TargetID]string, busy bool, err error)
 	// ServiceVM takes a VM down for its upkeep.
-	ServiceVM(ctx context.Context, o *planner.VMOrder) (planner.VMRefusal, error)
-	ListVMs(ctx context.Context) ([]planner.VM, error)
+	ServiceVM(ctx context.Context, o *planner.VMOrder, c *Call) (planner.VMRefusal, error)
+	ListVMs(ctx context.Context, c *Call) ([]planner.VM, error)
 }
 
 // Limits are the timeouts of calls. Zero values select the defaults.
@@ -57,12 +70,17 @@
 type Dispatcher struct {
 	Platform Platform
 	Log      hclog.Logger
-	Now      func() time.Time // makes a system call; durations that only metrics need use time.Now
+	Now      func() time.Time // advances while the VM is suspended; makes a system call, so durations that only metrics need use time.Now
 	Report   func(report any)
-	Limits   Limits
-	Meter    *meter.Meter // nil: no metrics are recorded
-
-	ctx context.Context
+	// Leads reports whether this daemon leads now and surely does so for a little
+	// longer; nil: it does. Orders about VMs are sent only then, since the VM service may
+	// not check tokens.
+	Leads  func() bool
+	Limits Limits
+	Meter  *meter.Meter // nil: no metrics are recorded
+
+	ctx      context.Context
+	failures failureLog
 }
 
 // Open sets the context of all calls and the default limits.
@@ -83,15 +101,15 @@
 func (d *Dispatcher) Do(a planner.Action) {
 	switch {
 	case a.Start != nil:
-		go d.start(a.Start)
+		go d.start(a.Start, d.Now())
 	case a.Stop != nil:
-		go d.stop(a.Stop)
+		go d.stop(a.Stop, d.Now())
 	case a.Pace != nil:
-		go d.pace(a.Pace)
+		go d.pace(a.Pace, d.Now())
 	case a.Poll != nil:
-		go d.poll(a.Poll)
+		go d.poll(a.Poll, d.Now())
 	case a.VM != nil:
-		go d.serviceVM(a.VM)
+		go d.serviceVM(a.VM, d.Now())
 	case a.List != nil:
 		go d.listVMs(a.List)
 	case a.TicketRequest != nil:
@@ -99,60 +117,111 @@
 	}
 }
 
-func (d *Dispatcher) start(o *planner.StartOrder) {
+var (
+	errOutdated   = errors.New("the decision is too old to be sent")
+	errNotLeading = errors.New("the leader lease is over")
+)
+
+// guard returns the check of a call that was decided at a time and waits for a
+// connection for up to wait.
+func (d *Dispatcher) guard(decided time.Time, wait time.Duration) func() error {
+	return func() error {
+		if d.Now().Sub(decided) > wait+schedulingDelay {
+			return errOutdated
+		}
+		return nil
+	}
+}
+
+// schedulingDelay is allowed in addition to the wait for a connection. It covers a busy
+// daemon; a suspended VM exceeds it.
+const schedulingDelay = 300 * time.Millisecond
+
+func (d *Dispatcher) start(o *planner.StartOrder, decided time.Time) {
 	r := &planner.OrderReport{Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Task: o.Task, Number: o.Number, Limit: o.Limit}
-	d.sendOrder("start", r, func(ctx context.Context) (Answer, error) { return d.Platform.Start(ctx, o) })
+	d.sendOrder("start", r, decided, func(ctx context.Context, c *Call) (Answer, error) { return d.Platform.Start(ctx, o, c) })
 	d.Report(r)
 }
 
-func (d *Dispatcher) stop(o *planner.StopOrder) {
+func (d *Dispatcher) stop(o *planner.StopOrder, decided time.Time) {
 	r := &planner.OrderReport{Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Task: o.Task, Number: o.Number, Stop: true, Limit: o.Limit}
-	d.sendOrder("stop", r, func(ctx context.Context) (Answer, error) { return d.Platform.Stop(ctx, o) })
+	d.sendOrder("stop", r, decided, func(ctx context.Context, c *Call) (Answer, error) { return d.Platform.Stop(ctx, o, c) })
 	d.Report(r)
 }
 
 // pace makes no report: the next poll shows the effect.
-func (d *Dispatcher) pace(o *planner.PaceOrder) {
-	d.sendOrder("pace", &planner.OrderReport{Limit: d.Limits.Pace}, func(ctx context.Context) (Answer, error) { return d.Platform.Pace(ctx, o) })
+func (d *Dispatcher) pace(o *planner.PaceOrder, decided time.Time) {
+	r := &planner.OrderReport{Target: o.To.Target, Limit: d.Limits.Pace}
+	d.sendOrder("pace", r, decided, func(ctx context.Context, c *Call) (Answer, error) { return d.Platform.Pace(ctx, o, c) })
 }
 
-// sendOrder makes a call and fills in r with its outcome.
-func (d *Dispatcher) sendOrder(kind string, r *planner.OrderReport, call func(context.Context) (Answer, error)) {
+// sendOrder makes a call and fills in r with its outcome. Sent is the time of the
+// check right before the call was sent.
+func (d *Dispatcher) sendOrder(kind string, r *planner.OrderReport, decided time.Time, call func(context.Context, *Call) (Answer, error)) {
 	ctx, cancel := context.WithTimeout(d.ctx, r.Limit)
 	defer cancel()
-	r.Sent = d.Now()
+	r.Sent = decided
+	check := d.guard(decided, r.Limit)
 	started := time.Now()
-	answer, err := call(ctx)
-	r.Answered, r.Refusal, r.Clock = err == nil, answer.Refusal, answer.Clock
-	d.recordOutcome(kind, r.Answered, r.Refusal, time.Since(started))
+	answer, err := call(ctx, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }})
+	r.Answered, r.Refusal, r.Clock, r.Failure = err == nil, answer.Refusal, answer.Clock, sendFailure(err)
+	d.recordOutcome(kind, outcomeOf(err, r.Refusal), time.Since(started))
+	d.recordFailure(kind, string(r.Target), err)
 }
 
-func (d *Dispatcher) recordOutcome(kind string, answered bool, refusal planner.Refusal, took time.Duration) {
-	outcome := "done"
+// sendFailure tells from the error of a call whether it may have left this VM.
+func sendFailure(err error) planner.SendFailure {
+	var e *connector.CallError
 	switch {
-	case !answered:
-		outcome = "unanswered"
+	case err == nil || !stderrors.As(err, &e) || !e.NotSent():
+		return planner.MayBeSent
+	case e.Local():
+		return planner.NotSent
+	}
+	return planner.NotConnected
+}
+
+func outcomeOf(err error, refusal planner.Refusal) string {
+	switch {
+	case err != nil && sendFailure(err) != planner.MayBeSent:
+		return "unsent"
+	case err != nil:
+		return "unanswered"
 	case refusal != planner.NotRefused:
-		outcome = "refused " + refusal.String()
+		return "refused " + refusal.String()
 	}
+	return "done"
+}
+
+func (d *Dispatcher) recordOutcome(kind, outcome string, took time.Duration) {
 	d.Meter.Order(kind, outcome, took)
 }
 
-func (d *Dispatcher) poll(o *planner.PollOrder) {
-	r := &planner.PollReport{Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Sent: d.Now(), Limit: o.Wait + o.Limit}
-	ctx, cancel := context.WithTimeout(d.ctx, r.Limit)
+func (d *Dispatcher) poll(o *planner.PollOrder, decided time.Time) {
+	r := &planner.PollReport{
+		Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Sent: decided, Limit: o.Wait + o.Limit, Held: o.Wait > 0,
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, o.Limit)
 	defer cancel()
-	err := d.Platform.Poll(ctx, o, r)
-	r.Answered = err == nil
+	check := d.guard(decided, o.Limit)
+	err := d.Platform.Poll(ctx, o, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }}, r)
+	r.Answered, r.Failure = err == nil, sendFailure(err)
 	r.Received = d.Now()
-	d.recordOutcome("look", r.Answered, r.Refusal, r.Received.Sub(r.Sent))
+	d.recordOutcome("look", outcomeOf(err, r.Refusal), r.Received.Sub(decided))
+	d.recordFailure("look", string(r.Target), err)
 	d.Report(r)
 }
 
-func (d *Dispatcher) serviceVM(o *planner.VMOrder) {
+func (d *Dispatcher) serviceVM(o *planner.VMOrder, decided time.Time) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
-	refusal, err := d.Platform.ServiceVM(ctx, o)
+	check := d.guard(decided, d.Limits.VM)
+	refusal, err := d.Platform.ServiceVM(ctx, o, &Call{Timeout: d.Limits.VM, Guard: func() error {
+		if d.Leads != nil && !d.Leads() {
+			return errNotLeading
+		}
+		return check()
+	}})
 	if err != nil {
 		d.Log.Warn("maintenance order for a vm was not answered", "vm", string(o.VM), "wave", int64(o.Wave), "error", err)
 	}
@@ -162,7 +231,7 @@
 func (d *Dispatcher) listVMs(o *planner.ListOrder) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
-	vms, err := d.Platform.ListVMs(ctx)
+	vms, err := d.Platform.ListVMs(ctx, &Call{Timeout: d.Limits.VM})
 	if err != nil {
 		d.Log.Warn("list of vms was not answered", "error", err)
 	}
@@ -175,7 +244,12 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Ask)
 	defer cancel()
 	started := time.Now()
-	admitted, busy, err := d.Platform.RequestTickets(ctx, o.Step, o.Targets)
-	d.recordOutcome("licence", err == nil && !busy, planner.NotRefused, time.Since(started))
+	admitted, busy, err := d.Platform.RequestTickets(ctx, o.Step, o.Targets, &Call{Timeout: d.Limits.Ask})
+	outcome := outcomeOf(err, planner.NotRefused)
+	if busy {
+		outcome = "busy"
+	}
+	d.recordOutcome("licence", outcome, time.Since(started))
+	d.recordFailure("licence", "", err)
 	return &planner.TicketReport{ID: o.ID, Answered: err == nil && !busy, Busy: busy, Admitted: admitted}
 }
--- /dev/null
+++ b/internal/daemon/dispatcher/dispatcher_test.go
@@ -0,0 +1,179 @@
+package dispatcher_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"masticroad/internal/daemon/dispatcher"
+	"masticroad/internal/peer/connector"
+	"masticroad/internal/workflow/planner"
+)
+
+// This file tests what the dispatcher reports of calls that fail, and that it sends
+// nothing on a decision that has become too old on the way.
+
+// platform is a dispatcher.Platform. Before the guard of a call it runs delay; a call
+// that passes the guard counts as sent and gets err. The embedded interface is nil: no
+// other call is expected.
+type platform struct {
+	dispatcher.Platform
+	delay func()
+	err   error
+	mu    sync.Mutex
+	sent  int
+}
+
+func (p *platform) send(c *dispatcher.Call) error {
+	if p.delay != nil {
+		p.delay()
+	}
+	if c.Guard != nil {
+		if err := c.Guard(); err != nil {
+			return &connector.CallError{Cause: connector.CauseDeadline, Err: err}
+		}
+	}
+	p.mu.Lock()
+	p.sent++
+	p.mu.Unlock()
+	return p.err
+}
+
+func (p *platform) Start(_ context.Context, _ *planner.StartOrder, c *dispatcher.Call) (dispatcher.Answer, error) {
+	return dispatcher.Answer{}, p.send(c)
+}
+
+func (p *platform) Stop(_ context.Context, _ *planner.StopOrder, c *dispatcher.Call) (dispatcher.Answer, error) {
+	return dispatcher.Answer{}, p.send(c)
+}
+
+func (p *platform) Poll(_ context.Context, _ *planner.PollOrder, c *dispatcher.Call, _ *planner.PollReport) error {
+	return p.send(c)
+}
+
+func (p *platform) ServiceVM(_ context.Context, _ *planner.VMOrder, c *dispatcher.Call) (planner.VMRefusal, error) {
+	return planner.VMNotRefused, p.send(c)
+}
+
+// clock is a clock that tests move.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (k *clock) Now() time.Time {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now
+}
+
+func (k *clock) advance(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.now = k.now.Add(d)
+}
+
+// run carries out an action and returns its report.
+func run(c *quicktest.C, p *platform, k *clock, leads func() bool, a planner.Action) any {
+	reports := make(chan any, 1)
+	d := &dispatcher.Dispatcher{Platform: p, Log: hclog.NewNullLogger(), Now: k.Now, Report: func(r any) { reports <- r }, Leads: leads}
+	d.Open(context.Background())
+	d.Do(a)
+	select {
+	case r := <-reports:
+		return r
+	case <-time.After(10 * time.Second):
+		c.Fatal("no report")
+		return nil
+	}
+}
+
+func TestReportsTellWhetherAnOrderWasSent(t *testing.T) {
+	for _, test := range []struct {
+		err  error
+		want planner.SendFailure
+	}{
+		{&connector.CallError{Cause: connector.CauseNoDescriptor}, planner.NotSent},
+		{&connector.CallError{Cause: connector.CauseNoConnection}, planner.NotSent},
+		{&connector.CallError{Cause: connector.CauseDeadline}, planner.NotSent},
+		{&connector.CallError{Cause: connector.CauseRefused}, planner.NotConnected},
+		{&connector.CallError{Cause: connector.CauseUnreachable}, planner.NotConnected},
+		{&connector.CallError{Cause: connector.CauseTimeout}, planner.MayBeSent},
+		{&connector.CallError{Cause: connector.CauseClosed}, planner.MayBeSent},
+		{fmt.Errorf("start: %w", &connector.CallError{Cause: connector.CauseInvalid}), planner.MayBeSent},
+		{errors.New("status 500"), planner.MayBeSent},
+	} {
+		t.Run(fmt.Sprint(test.err), func(t *testing.T) {
+			c := quicktest.New(t)
+			p, k := &platform{err: test.err}, &clock{now: time.Unix(1000, 0)}
+			limit := 200 * time.Millisecond
+			started := run(c, p, k, nil, planner.Action{Start: &planner.StartOrder{Limit: limit}}).(*planner.OrderReport)
+			c.Assert(started.Answered, quicktest.IsFalse)
+			c.Assert(started.Failure, quicktest.Equals, test.want)
+			polled := run(c, p, k, nil, planner.Action{Poll: &planner.PollOrder{Limit: limit, Wait: limit}}).(*planner.PollReport)
+			c.Assert(polled.Answered, quicktest.IsFalse)
+			c.Assert(polled.Failure, quicktest.Equals, test.want)
+			c.Assert(polled.Held, quicktest.IsTrue)
+		})
+	}
+}
+
+// A VM is suspended between the decision and the connection; another leader may have
+// decided otherwise meanwhile.
+func TestNothingIsSentOnADecisionFromBeforeAPause(t *testing.T) {
+	for name, a := range map[string]planner.Action{
+		"start": {Start: &planner.StartOrder{Limit: 200 * time.Millisecond}},
+		"stop":  {Stop: &planner.StopOrder{Limit: 200 * time.Millisecond}},
+		"poll":  {Poll: &planner.PollOrder{Limit: 300 * time.Millisecond, Wait: time.Second}},
+		"vm":    {VM: &planner.VMOrder{VM: "m-1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			k := &clock{now: time.Unix(1000, 0)}
+			p := &platform{}
+			run(c, p, k, nil, a)
+			c.Assert(p.sent, quicktest.Equals, 1)
+			p = &platform{delay: func() { k.advance(5 * time.Second) }}
+			run(c, p, k, nil, a)
+			c.Assert(p.sent, quicktest.Equals, 0)
+		})
+	}
+}
+
+// The VM service may not check tokens, so two leaders must not both send.
+func TestOrderAboutAVMIsNotSentAfterTheLeaderLease(t *testing.T) {
+	c := quicktest.New(t)
+	p, k := &platform{}, &clock{now: time.Unix(1000, 0)}
+	leads := true
+	p.delay = func() { leads = false }
+	r := run(c, p, k, func() bool { return leads }, planner.Action{VM: &planner.VMOrder{VM: "m-1"}}).(*planner.VMReport)
+	c.Assert(r.Answered, quicktest.IsFalse)
+	c.Assert(p.sent, quicktest.Equals, 0)
+}
+
+func TestLogOfFailedCallsIsBounded(t *testing.T) {
+	c := quicktest.New(t)
+	var out bytes.Buffer
+	var reports sync.WaitGroup
+	p := &platform{err: &connector.CallError{Cause: connector.CauseTimeout, Err: errors.New("no answer")}}
+	d := &dispatcher.Dispatcher{
+		Platform: p, Log: hclog.New(&hclog.LoggerOptions{Output: &out, Mutex: &sync.Mutex{}}), Now: time.Now, Report: func(any) { reports.Done() },
+	}
+	d.Open(context.Background())
+	for range 500 {
+		reports.Add(1)
+		d.Do(planner.Action{Start: &planner.StartOrder{To: planner.Destination{Target: "t1"}, Limit: time.Second}})
+	}
+	reports.Wait()
+	lines := strings.Count(out.String(), "call was not answered")
+	c.Assert(lines >= 1 && lines <= 60, quicktest.IsTrue, quicktest.Commentf("%d lines", lines))
+	c.Assert(out.String(), quicktest.Contains, "target=t1 cause=Timeout sent=MayBeSent")
+}
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -43,6 +43,17 @@
 	Bootstrap  bool   // bootstrap the cell if the data folder is empty
 	Bounds     planner.Bounds
 	Timing     replicator.Timing
+	// MaxTargetConnections and MaxControlConnections bound the connections to targets
+	// and those that targets open for their announcements. 0: no bound.
+	MaxTargetConnections, MaxControlConnections int
+}
+
+// orderReserve is the part of the connections to targets that polls leave to orders.
+const orderReserve = 4 // a quarter
+
+// limits returns the planner's limits.
+func (s *Settings) limits() planner.Limits {
+	return planner.Limits{MaxHeldPolls: s.MaxTargetConnections - s.MaxTargetConnections/orderReserve}
 }
 
 // logGroup is the only group of a workflow cell.
@@ -119,11 +130,12 @@
 	}
 	s.coordinator = &coordinator.Coordinator{
 		Node: s.node, Clock: s.clock, Log: s.Log.Named("coordinator"), Dispatcher: s.dispatcher, Name: planner.LicenceProxyID(s.Settings.Name),
-		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name}},
-		MaxBytes: snapshotBytes, OnLeaderChange: s.Relayer.UpdateLeader, Meter: s.Meter,
+		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name}, Limits: s.Settings.limits()},
+		MaxBytes: snapshotBytes, OnLeaderChange: s.Relayer.UpdateLeader, Meter: s.Meter, MaxAnnouncers: s.Settings.MaxControlConnections / 2,
 	}
 	s.coordinator.Open(ctx)
 	s.dispatcher.Report = s.coordinator.Report
+	s.dispatcher.Leads = func() bool { return s.clock.Monotonic().Before(s.node.Status().LeaseUntil) }
 	s.dispatcher.Open(ctx)
 	s.Relayer.Local = s.coordinator
 	s.Log.Info("replica opened", "id", string(identity.Replica), "applied", s.saved.Snapshot.Index, "entries", len(s.saved.Entries))
--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"masticroad/internal/peer/acceptor"
+	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/planner"
 	"masticroad/internal/workflow/tracker"
 )
@@ -30,6 +33,7 @@
 	orders   *prometheus.HistogramVec
 	rounds   prometheus.Histogram
 	ends     *prometheus.CounterVec
+	failures *prometheus.CounterVec
 	leading  prometheus.Gauge
 	voters   prometheus.Gauge
 	load     atomic.Pointer[planner.Load]
@@ -53,6 +57,9 @@
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runs_ended_total", Help: "Runs by how they ended.",
 		}, []string{"how"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_failed_total", Help: "Calls to targets and services without an answer, by cause.",
+		}, []string{"kind", "cause"}),
 		rounds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Namespace: namespace, Name: "round_seconds", Help: "Time that the leader decides in one round.",
 			Buckets: prometheus.ExponentialBuckets(0.00001, 2, 16), // 10 us to 0.3 s
@@ -61,7 +68,7 @@
 	}
 	m.voters = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: "voters", Help: "Voters of the log, as this replica knows them."})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.orders, m.late, m.ends, m.rounds, m.leading, m.voters, collectors.NewGoCollector(),
+	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.orders, m.late, m.ends, m.failures, m.rounds, m.leading, m.voters, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
 	return m
@@ -121,6 +128,56 @@
 	}
 }
 
+// CallFailed takes in a call to a target or a service without an answer.
+func (m *Meter) CallFailed(kind, cause string) {
+	if m != nil {
+		m.failures.WithLabelValues(kind, cause).Inc()
+	}
+}
+
+// Pool adds the gauges and counters of a pool of connections.
+func (m *Meter) Pool(name string, stats func() connector.Stats) {
+	m.connections(name, "open", "Connections that are open.", func() float64 { return float64(stats().Open) })
+	m.connections(name, "idle", "Connections without a request.", func() float64 { return float64(stats().Idle) })
+	m.connections(name, "waiting", "Requests that wait for a connection.", func() float64 { return float64(stats().Waiting) })
+	m.connections(name, "dialled_total", "Connections that were opened.", func() float64 { return float64(stats().Dialled) })
+	m.connections(name, "closed_for_room_total", "Idle connections that were closed for another one.", func() float64 { return float64(stats().ClosedForRoom) })
+}
+
+// Listener adds the gauges and counters of a bounded listener.
+func (m *Meter) Listener(name string, stats func() acceptor.Stats) {
+	m.connections(name, "open", "Connections that are open.", func() float64 { return float64(stats().Open) })
+	m.connections(name, "idle", "Connections without a request.", func() float64 { return float64(stats().Idle) })
+	m.connections(name, "closed_for_room_total", "Idle connections that were closed for another one.", func() float64 { return float64(stats().ClosedForRoom) })
+}
+
+func (m *Meter) connections(purpose, name, help string, value func() float64) {
+	if m == nil {
+		return
+	}
+	opts := prometheus.Opts{Namespace: namespace, Subsystem: "connections", Name: name, Help: help, ConstLabels: prometheus.Labels{"purpose": purpose}}
+	if strings.HasSuffix(name, "_total") {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts(opts), value))
+		return
+	}
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts(opts), value))
+}
+
+// Descriptors tells how the descriptors of the process are divided.
+func (m *Meter) Descriptors(limit int, shares map[string]int) {
+	if m == nil {
+		return
+	}
+	gauge := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace, Name: "descriptors_bound", Help: "Most descriptors for a purpose; Limit is that of the process.",
+	}, []string{"purpose"})
+	gauge.WithLabelValues("Limit").Set(float64(limit))
+	for name, n := range shares {
+		gauge.WithLabelValues(name).Set(float64(n))
+	}
+	m.registry.MustRegister(gauge)
+}
+
 // Round takes in a round of the leader.
 func (m *Meter) Round(took time.Duration) {
 	if m != nil {
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -131,7 +131,8 @@
 	IsQueue    bool             `cbor:"6,keyasint,omitempty"` // the path names a queue, not a job
 	Pending    int              `cbor:"7,keyasint,omitempty"`
 	Document   []byte           `cbor:"8,keyasint,omitempty"`
-	Completed  bool             `cbor:"9,keyasint,omitempty"` // of a wave
+	Completed  bool             `cbor:"9,keyasint,omitempty"`  // of a wave
+	AtLeader   bool             `cbor:"10,keyasint,omitempty"` // the target is to announce itself at the leader from now on
 }
 
 // Handler serves the streams of daemons on the leader.
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -48,6 +48,7 @@
 	Checkpoint string
 	Ticket     string
 	Limit      time.Duration // timeout, after which the order counts as unanswered
+	Urgent     bool          // it precedes others where connections are scarce
 }
 
 // StopOrder orders a target to stop a run.
@@ -74,6 +75,28 @@
 	Cursor   int64       // ends up to this sequence number are recorded
 	Wait     time.Duration
 	Limit    time.Duration // timeout in addition to Wait
+	Urgent   bool          // it precedes others where connections are scarce
+}
+
+// SendFailure tells whether a call without an answer may have left this VM. Only one
+// that may have can have been carried out.
+type SendFailure uint8
+
+// The failures. Zero also stands for an answered call.
+const (
+	MayBeSent    SendFailure = iota
+	NotSent                  // for want of a descriptor, a connection or time here: it says nothing about the target
+	NotConnected             // the target refused the connection, or it could not be opened in time
+)
+
+var sendFailureNames = []string{"MayBeSent", "NotSent", "NotConnected"}
+
+// String returns the name of f.
+func (f SendFailure) String() string {
+	if int(f) < len(sendFailureNames) {
+		return sendFailureNames[f]
+	}
+	return "Unknown"
 }
 
 // Refusal is the reason why a target rejected a call.
@@ -112,7 +135,8 @@
 	Stop        bool      // it was an order to stop
 	Sent        time.Time // when the order was sent
 	Limit       time.Duration
-	Answered    bool // false: no response; the order may still be carried out
+	Answered    bool        // false: no response
+	Failure     SendFailure // of an order without a response
 	Refusal     Refusal
 	Clock       ClockMillis // of the response
 }
@@ -124,8 +148,10 @@
 	Token       Token               // that the poll carried
 	Sent        time.Time
 	Limit       time.Duration // timeout, including the wait of the poll
+	Held        bool          // the poll let the target wait for an end
 	Received    time.Time
 	Answered    bool
+	Failure     SendFailure // of a poll without a response
 	Refusal     Refusal
 	Answering   tracker.Incarnation // that answered
 	Clock       ClockMillis
--- a/internal/workflow/planner/limits.go
+++ b/internal/workflow/planner/limits.go
@@ -14,6 +14,7 @@
 	LossyTimeout    time.Duration // the same for both while calls are being lost
 	PollRetry       time.Duration // pause after an unanswered poll
 	OrderRetry      time.Duration // pause after an unanswered order
+	UnsentRetry     time.Duration // first pause after a call that could not be sent; doubled each time
 	UnhealthyPause  time.Duration // no new work for a target that refused a start, for example as unhealthy
 	RemoveAfter     time.Duration // an unresponsive target is removed
 	LateOrderWindow time.Duration // an unanswered order may still be carried out this much later
@@ -24,6 +25,9 @@
 	// priority are stopped for it; negative: never.
 	PreemptAfter time.Duration
 	DriftShare   float64 // a target's clock may run slow by this fraction
+	// MaxHeldPolls bounds the polls that targets may hold at a time, each of which
+	// takes a connection. Further targets are polled at intervals. 0: no bound.
+	MaxHeldPolls int
 }
 
 func (l *Limits) fill() {
@@ -38,6 +42,7 @@
 	setDefault(&l.LossyTimeout, 80*time.Millisecond)    // four round trips between regions
 	setDefault(&l.PollRetry, 150*time.Millisecond)      // ten round trips between regions
 	setDefault(&l.OrderRetry, 100*time.Millisecond)     // the same
+	setDefault(&l.UnsentRetry, 50*time.Millisecond)     // a few round trips between regions, after which connections are free
 	setDefault(&l.UnhealthyPause, 500*time.Millisecond) // a third of the time between announcements
 	setDefault(&l.RemoveAfter, 30*time.Second)          // 20 announcements
 	setDefault(&l.PreemptAfter, -1)                     // off: a stop leaves capacity unused for StopTime; see docs/POLICIES.md
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -93,6 +93,7 @@
 	dirty           bool                           // placement has to run again
 	stepsByPriority []*step
 	sweepAt         time.Time
+	heldPolls       int       // polls on their way that a target may hold for their wait
 	recentMisses    int       // unanswered calls; reset after lossyWindow without one
 	lastMissAt      time.Time // when the newest of them was noticed
 	// progressCheckedAt is when the progress of runs was checked last.
@@ -104,7 +105,7 @@
 
 // Counters count decisions since Begin.
 type Counters struct {
-	Accepted, Refused, Started, Stopped, Lost, StartsRefused, TicketRequests, Preempted, Moved, Copies int
+	Accepted, Refused, Started, Stopped, Lost, StartsRefused, StartsUnsent, TicketRequests, Preempted, Moved, Copies int
 }
 
 // Round is the outcome of all calls since the previous Take.
@@ -178,6 +179,7 @@
 	p.interference = make(map[imagePair]time.Time)
 	p.scans = make(map[definer.PoolName]*poolScan)
 	p.holding = nil
+	p.heldPolls = 0
 	p.stepsByPriority = nil
 	p.round = Round{}
 	p.Counters = Counters{}
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -23,9 +23,34 @@
 		// The target may have restarted; a new incarnation numbers its ends anew.
 		order.Cursor = 0
 	}
+	if order.Wait > 0 && !p.mayHoldPoll(t) {
+		order.Wait = 0
+	}
+	if order.Wait > 0 {
+		p.heldPolls++
+	}
+	order.Urgent = p.nearLeaseEnd(t, now)
 	p.doAfterCommit(Action{Poll: order})
 }
 
+// mayHoldPoll reports whether a target may hold another poll. Targets without runs
+// leave a part of the polls to the others.
+func (p *Planner) mayHoldPoll(t *target) bool {
+	limit := p.Limits.MaxHeldPolls
+	if limit > 0 && len(t.runs) == 0 {
+		limit = max(limit-limit/idlePollReserve, 1)
+	}
+	return limit == 0 || p.heldPolls < limit
+}
+
+const idlePollReserve = 4 // a quarter of MaxHeldPolls is for targets with runs
+
+// nearLeaseEnd reports whether the runs on a target may lose half of their lease
+// before the next poll is answered.
+func (p *Planner) nearLeaseEnd(t *target, now Moment) bool {
+	return len(t.runs) > 0 && now.Monotonic.Sub(t.lastContact) > p.leaseFor(t)/2
+}
+
 func (p *Planner) pollWait(t *target, now Moment) time.Duration {
 	switch {
 	case len(t.runs) == 0:
@@ -50,6 +75,9 @@
 // PollReported handles the answer to a poll: what the target runs and what has ended
 // there.
 func (p *Planner) PollReported(r *PollReport, now Moment) {
+	if r.Held && r.Token.term() == p.term {
+		p.heldPolls--
+	}
 	t := p.targets[r.Target]
 	if t == nil || t.rec.Incarnation != r.Incarnation || !p.isCurrent(r.Token, t) {
 		// The target was removed, or has a new incarnation that is polled on its own,
@@ -57,6 +85,13 @@
 		return
 	}
 	t.polling = false
+	if !r.Answered && r.Failure == NotSent {
+		t.unsentPolls++
+		pause := p.Limits.UnsentRetry << min(t.unsentPolls-1, maxUnsentDoublings)
+		t.pollDue = now.Monotonic.Add(pause)
+		return
+	}
+	t.unsentPolls = 0
 	if !r.Answered {
 		t.consecutiveMisses++ // an unanswered poll counts twice, as it waits for long
 		p.recordMiss(t, now.Monotonic.Sub(r.Sent)-r.Limit, now)
@@ -74,10 +109,16 @@
 	}
 	p.recordFinished(t, r, now)
 	p.reconcileRuns(t, r, now)
-	p.poll(t, now)
 	p.dirty = true
+	if !p.mayHoldPoll(t) {
+		t.pollDue = now.Monotonic.Add(p.pollWait(t, now))
+		return
+	}
+	p.poll(t, now)
 }
 
+const maxUnsentDoublings = 3 // of the pause before another poll: half a lease would pass with more
+
 func (p *Planner) recordAnswer(t *target, clock ClockMillis, received time.Time) {
 	if t.consecutiveMisses > 0 {
 		p.dirty = true
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -23,6 +23,7 @@
 	runStarted                     // the target has it
 	runRecovered                   // ordered by an earlier leader, or to an earlier incarnation
 	runRefused                     // refused as old; it does not run unless the target lists it
+	runUnsent                      // the newest order could not be sent; see neverSent
 )
 
 // run is the leader's view of one run.
@@ -41,9 +42,12 @@
 	retryAt             time.Time // of an unanswered order
 	listed              bool      // the target has listed it as running
 	unansweredAt        time.Time // when the latest unanswered order to start it was noticed
+	pendingOrders       int       // orders to start it that are not reported yet
+	mayBeSent           bool      // an order to start it has left this VM, or may have
+	unsentOrders        int       // orders in a row that could not be sent
 	stopping            bool
 	stopReason          string
-	stopSentAt          time.Time
+	stopRetryAt         time.Time // of the order to stop it
 	stoppedAt           time.Time // when the target confirmed an order to stop; zero: it has not
 	refusedAt           time.Time // when the target refused an order to start as old
 	checkpoint          string
@@ -65,6 +69,12 @@
 	return now.Monotonic.Sub(r.sentAt) < window
 }
 
+// neverSent reports whether no order to start a run has left this VM, which proves
+// that the target does not run it.
+func (r *run) neverSent() bool {
+	return r.decidedByThisLeader && r.state != runRecovered && !r.mayBeSent && r.pendingOrders == 0
+}
+
 func (t *target) sortedRuns() []*run { return sortedRuns(t.runs) }
 
 // sortedRuns returns runs ordered by task, so that decisions are deterministic.
@@ -114,6 +124,11 @@
 	}
 	r.sentAt = now.Monotonic
 	r.resumed = o.Checkpoint != ""
+	p.emitStart(r, o)
+}
+
+func (p *Planner) emitStart(r *run, o *StartOrder) {
+	r.pendingOrders++
 	p.doAfterCommit(Action{Start: o})
 }
 
@@ -126,7 +141,7 @@
 	return &StartOrder{
 		To: p.destination(t), Task: r.key.task, Number: r.key.number, Spec: r.job.rec.Def.Spec,
 		Deadline: p.extendLease(t, p.Limits.InitialLease, now), Checkpoint: task.Checkpoint, Ticket: r.ticket,
-		Limit: p.orderTimeout(now),
+		Limit: p.orderTimeout(now), Urgent: r.def.Gang,
 	}
 }
 
@@ -142,11 +157,14 @@
 		r.charge = registrar.Need{}
 	}
 	p.Counters.Stopped++
+	if r.neverSent() {
+		return // checkRuns ends it
+	}
 	p.sendStop(r, now)
 }
 
 func (p *Planner) sendStop(r *run, now Moment) {
-	r.stopSentAt = now.Monotonic
+	r.stopRetryAt = now.Monotonic.Add(p.Settings.StopTime + stopMargin)
 	p.doAfterCommit(Action{Stop: &StopOrder{To: p.destination(r.target), Task: r.key.task, Number: r.key.number, Limit: p.orderTimeout(now)}})
 }
 
@@ -157,6 +175,10 @@
 		return
 	}
 	r := t.runs[runKey{o.Task, o.Number}]
+	if r != nil && !o.Stop {
+		r.pendingOrders--
+		r.mayBeSent = r.mayBeSent || o.Answered || o.Failure == MayBeSent
+	}
 	if !o.Answered {
 		p.unansweredOrder(t, r, o, now)
 		return
@@ -193,19 +215,30 @@
 const restartClockStep = time.Second // more than the timeout of an order
 
 func (p *Planner) unansweredOrder(t *target, r *run, o *OrderReport, now Moment) {
-	p.recordMiss(t, now.Monotonic.Sub(o.Sent)-o.Limit, now)
-	if r == nil || r.stopping && !o.Stop {
+	if o.Failure != NotSent {
+		p.recordMiss(t, now.Monotonic.Sub(o.Sent)-o.Limit, now)
+	}
+	if r == nil {
 		return
 	}
 	if o.Stop {
-		if t.responsive {
-			p.sendStop(r, now)
-		}
+		p.unansweredStop(t, r, o, now)
+		return
+	}
+	if r.neverSent() {
+		p.unsentStart(r, o, now)
+		return
+	}
+	if r.stopping {
 		return
 	}
-	if r.state == runOrdered {
+	if r.state == runOrdered || r.state == runUnsent {
 		r.state = runUnconfirmed
 	}
+	if o.Failure != MayBeSent {
+		r.retryAt = now.Monotonic.Add(p.Limits.OrderRetry)
+		return
+	}
 	r.unansweredAt = now.Monotonic
 	r.retryAt = now.Monotonic.Add(p.Limits.OrderRetry)
 	if t.responsive {
@@ -213,12 +246,48 @@
 	}
 }
 
+func (p *Planner) unansweredStop(t *target, r *run, o *OrderReport, now Moment) {
+	switch {
+	case o.Failure != MayBeSent:
+		r.stopRetryAt = now.Monotonic.Add(p.Limits.OrderRetry)
+	case t.responsive:
+		p.sendStop(r, now)
+	}
+}
+
+// unsentStart handles an order to start a run of which nothing has left this VM. The
+// run is tried again there while the cause is a shortage here. It ends, so that its
+// task is placed elsewhere, if the target can't be connected to, if the shortage
+// lasts, or if the run is to be stopped.
+func (p *Planner) unsentStart(r *run, o *OrderReport, now Moment) {
+	r.unsentOrders++
+	if o.Failure == NotConnected {
+		r.target.pausedUntil = now.Monotonic.Add(p.Limits.UnhealthyPause)
+	}
+	if r.stopping || o.Failure == NotConnected || r.unsentOrders >= maxUnsentOrders {
+		p.endUnsent(r, now)
+		return
+	}
+	r.state = runUnsent
+	r.retryAt = now.Monotonic.Add(p.Limits.UnsentRetry << (r.unsentOrders - 1))
+}
+
+// endUnsent ends a run that its target was never ordered to start.
+func (p *Planner) endUnsent(r *run, now Moment) {
+	p.Counters.StartsUnsent++
+	p.endRun(r, tracker.EndRefused, r.checkpoint, "order was not sent", now)
+}
+
+// maxUnsentOrders bounds the wait for a connection to about a third of a second,
+// most of it in pauses.
+const maxUnsentOrders = 4
+
 // repeatStart sends an unanswered order to start again. A target starts a run at
 // most once.
 func (p *Planner) repeatStart(r *run, now Moment) {
 	if o := p.startOrder(r, now); o != nil {
 		r.retryAt = now.Monotonic.Add(maxOrderTime)
-		p.doAfterCommit(Action{Start: o})
+		p.emitStart(r, o)
 	}
 }
 
@@ -376,7 +445,7 @@
 		if r.refusedAt.Before(asked) {
 			p.endRun(r, tracker.EndRefused, r.checkpoint, "target refused it as old", now)
 		}
-	case runOrdered, runUnconfirmed:
+	case runOrdered, runUnconfirmed, runUnsent:
 		if !r.stoppedAt.IsZero() && r.stoppedAt.Before(asked) {
 			p.endRun(r, tracker.EndRefused, r.checkpoint, "stopped before it began", now)
 		}
@@ -391,25 +460,32 @@
 		return
 	}
 	for _, r := range t.sortedRuns() {
-		if r.state == runUnconfirmed && !r.stopping && t.responsive && t.tokenConfirmed && !now.Monotonic.Before(r.retryAt) {
+		switch {
+		case r.neverSent() && (r.stopping || !t.responsive):
+			p.endUnsent(r, now)
+		case r.stopping:
+			if !now.Monotonic.Before(r.stopRetryAt) {
+				p.sendStop(r, now)
+			}
+		case r.needsRepeat() && t.responsive && t.tokenConfirmed && !now.Monotonic.Before(r.retryAt):
 			p.repeatStart(r, now)
 		}
-		if r.stopping && now.Monotonic.Sub(r.stopSentAt) > p.Settings.StopTime+stopMargin {
-			p.sendStop(r, now)
-		}
 	}
 }
 
 // hasUnconfirmed reports whether an order may have to be repeated.
 func (t *target) hasUnconfirmed() bool {
 	for _, r := range t.runs {
-		if r.state == runUnconfirmed || r.stopping {
+		if r.needsRepeat() || r.stopping {
 			return true
 		}
 	}
 	return false
 }
 
+// needsRepeat reports whether the order to start a run has to be sent again.
+func (r *run) needsRepeat() bool { return r.state == runUnconfirmed || r.state == runUnsent }
+
 const (
 	maxOrderTime = 500 * time.Millisecond // longer than the timeout of an order
 	stopMargin   = 400 * time.Millisecond // in addition to StopTime, until a stop is repeated
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -38,6 +38,7 @@
 	polling              bool
 	pollDue              time.Time
 	consecutiveMisses    int // unanswered calls in a row; a poll counts twice
+	unsentPolls          int // polls in a row that could not be sent
 	endCursor            int64
 	lastContact          time.Time // of the newest announcement or answer
 	announcementSequence int64     // of the newest announcement
@@ -247,6 +248,9 @@
 	return Token(p.term)<<epochBits | Token(t.epoch)
 }
 
+// term returns the term of the leader that made a call with the token.
+func (t Token) term() registrar.Term { return registrar.Term(t >> epochBits) }
+
 // isCurrent reports whether a call with a token was made in the present term for
 // the target's present incarnation.
 func (p *Planner) isCurrent(token Token, t *target) bool {
