Bound the time to the first run of long-running tasks and of idle jobs under overload

Three causes of one class, a sum of waits that no part owned: the wait for a first run began anew with each leader; steps of a higher priority took every call to the licensing service; a job that had nothing running avoided targets on which it had failed for up to 8 s while others were full.

Now the wait counts from the job's acceptance, overdue long-running steps ask for tickets first, and an idle job avoids a target for 1.5 s at most. Each has a planner test that failed before.

--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -19,6 +19,7 @@
 	id            definer.JobID
 	criticalPaths []time.Duration // longest time from the start of each step to the end of the job
 	deadline      time.Time       // objective of occurrence 0
+	acceptedAt    time.Time       // by this leader or an earlier one
 	runs          map[runKey]*run
 	completed     []stepTiming          // timings of completed steps
 	failures      map[*target]time.Time // when its runs last failed on each target
@@ -26,6 +27,7 @@
 	// dropped when it ends.
 	estimates []time.Duration
 	preempted map[definer.TaskID]int // how often each task was preempted
+	idleSince time.Time              // when its newest run ended, if it has none
 }
 
 // stepTiming is the time that a step spent waiting and running, for the log.
@@ -47,14 +49,19 @@
 // avoids reports whether a step should use other targets of its pool, as a run of
 // its job has recently failed on this one. Attempts are few, and a faulty target may
 // fail the job again. Labels and the licensing service may leave a step no others; a
-// long-running task, whose attempts aren't counted, waits only briefly for others.
+// long-running task, whose attempts aren't counted, waits only briefly for others, and
+// so does a job that has nothing running.
 func (p *Planner) avoids(s *step, pl *pool, t *target, now Moment) bool {
 	at, failed := s.job.failures[t]
 	since := now.Monotonic.Sub(at)
 	if !failed || since >= avoidAfterFailure || 2*len(s.job.failures) >= len(pl.targets) {
 		return false
 	}
-	return since < maxAvoidWait || !s.def.LongRunning && p.hasAlternative(s, pl, now)
+	if since < maxAvoidWait {
+		return true
+	}
+	idle := len(s.job.runs) == 0 && now.Monotonic.Sub(s.job.idleSince) >= maxAvoidWait
+	return !s.def.LongRunning && !idle && p.hasAlternative(s, pl, now)
 }
 
 // hasAlternative reports whether a step may use a target, now or later, on which no
@@ -131,8 +138,9 @@
 	for i := range rec.Def.Steps {
 		j.estimates = append(j.estimates, rec.Def.Steps[i].Estimate)
 	}
-	age := time.Duration(now.Wall-rec.Accepted) * time.Millisecond
-	j.deadline = now.Monotonic.Add(p.objective(j) - max(age, 0))
+	age := max(time.Duration(now.Wall-rec.Accepted)*time.Millisecond, 0)
+	j.deadline = now.Monotonic.Add(p.objective(j) - age)
+	j.acceptedAt, j.idleSince = now.Monotonic.Add(-age), now.Monotonic
 	p.jobs[rec.ID] = j
 	if rec.OccurrencesStarted < rec.Def.Occurrences() && !rec.State.Ended() {
 		p.recurring[rec.ID] = true
@@ -209,7 +217,7 @@
 	s.latestStart = p.stepDeadline(j, id, now).Add(-j.criticalPaths[id.Step])
 	for i := range rec.Tasks {
 		if !rec.Tasks[i].Done && len(rec.Tasks[i].Runs) == 0 {
-			s.addWaiting(i, now.Monotonic)
+			s.addWaiting(i, s.firstWait(i, now))
 		}
 	}
 	p.steps[id] = s
@@ -217,6 +225,16 @@
 	p.dirty = true
 }
 
+// firstWait returns since when a task waits that has no run when its step is added. The
+// time under earlier leaders counts if the task could start when its job was accepted,
+// since the time to its first run is bounded however often the leader changes.
+func (s *step) firstWait(index int, now Moment) time.Time {
+	if s.def.LongRunning && len(s.def.DependsOn) == 0 && s.id.Occurrence == 0 && s.rec.Tasks[index].LastRun == 0 && s.job.rec.Def.Due(0) == 0 {
+		return s.job.acceptedAt
+	}
+	return now.Monotonic
+}
+
 // stepDeadline returns the time by which the step's occurrence should be done.
 func (p *Planner) stepDeadline(j *job, id definer.StepID, now Moment) time.Time {
 	if due := j.rec.Def.Due(id.Occurrence); due != 0 {
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -49,6 +49,7 @@
 		s.lostRuns -= p.placeTasks(s, s.lostRuns, now)
 	}
 	p.prepareRestore(now)
+	p.requestOverdueTickets(now)
 	for _, s := range p.placementOrder(now) {
 		if len(s.waiting) == 0 || s.job.rec.State.Ended() {
 			continue
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -107,6 +107,25 @@
 	}
 }
 
+// requestOverdueTickets requests tickets for long-running steps that have waited long
+// for a run, before steps of a higher priority take all calls to the licensing
+// service. The one that has waited longest comes first.
+func (p *Planner) requestOverdueTickets(now Moment) {
+	var overdue []*step
+	for _, s := range p.stepsByPriority {
+		if s.holding && !s.def.Gang {
+			overdue = append(overdue, s)
+		}
+	}
+	slices.SortStableFunc(overdue, func(a, b *step) int { return a.oldestWait(now).Compare(b.oldestWait(now)) })
+	for _, s := range overdue[:min(len(overdue), maxHolders)] {
+		if pl := p.pools[s.pool]; pl != nil && len(s.waiting) > 0 {
+			s.rack = p.requiredRack(s, pl, now)
+			p.findCapacity(s, pl, len(s.waiting), now)
+		}
+	}
+}
+
 // recordQuickFailure counts the runs of a long-running task that fail in a row soon
 // after they have started. After some of them the task loses its precedence, as it
 // would occupy its targets again and again.
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -496,6 +496,7 @@
 	t, j := r.target, r.job
 	delete(t.runs, r.key)
 	delete(j.runs, r.key)
+	j.idleSince = now.Monotonic
 	t.forgetPace(r.key)
 	t.release(r)
 	p.dirty = true
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -435,3 +435,78 @@
 	lease := time.Duration(float64(b.p.Limits.LongLease) / (1 - b.p.Limits.DriftShare))
 	c.Assert(took < lease+400*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %s, %s after the lease", took, took-lease))
 }
+
+// The time to the first run is bounded however often the leader changes.
+func TestWaitForAFirstRunCountsAcrossLeaders(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 0)
+	c.Assert(s.submit(1, definer.Step{Count: 1, Need: cpus(1), LongRunning: true}), quicktest.HasLen, 0)
+	s.advance(5 * time.Second)
+	s.records = nil
+	s.changeTerm(2)
+	s.advance(time.Second)
+	c.Assert(s.lines("long-running tasks without a run") > 0, quicktest.IsTrue)
+}
+
+// A job that has nothing running does not wait for other targets than the one on
+// which it has failed, as long as there is room.
+func TestJobWithoutRunsUsesATargetOnWhichItFailed(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 3)
+	var rows []row
+	for n := 2; n <= 3; n++ { // they are full, and the job could use them later
+		for _, o := range s.submit(definer.JobID(n), oneTask(cpus(16))) {
+			s.acceptStart(o)
+			rows = append(rows, row{target: o.To.Target, task: o.Task, number: o.Number})
+		}
+	}
+	o := s.submit(1, definer.Step{Count: 2, Need: cpus(8), Estimate: time.Second})
+	c.Assert(o, quicktest.HasLen, 2)
+	s.acceptStart(o[0])
+	s.acceptStart(o[1])
+	for _, x := range o {
+		rows = append(rows, row{target: x.To.Target, task: x.Task, number: x.Number, how: tracker.EndFailed})
+	}
+	for range 60 {
+		s.answerPolls(rows...)
+		if again := s.starts(); len(again) > 0 {
+			c.Assert(again[0].Task.Job, quicktest.Equals, definer.JobID(1))
+			return
+		}
+		s.advance(50 * time.Millisecond)
+	}
+	c.Fatal("the job had no run for 3 s, with room for it")
+}
+
+// Steps of a higher priority do not take all calls to the licensing service from a
+// long-running step that has waited long.
+func TestOverdueLongRunningStepRequestsTicketsFirst(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 4)
+	licence := slowLicence
+	s.p.Put(&definer.Document{
+		Version: 2, Pools: []definer.Pool{{Name: poolName}},
+		Queues: []definer.Queue{
+			{Name: "urgent", Host: host, Prefix: "/u/", Pool: poolName, MaxAttempts: 2, Slack: 2, Grace: time.Second, Timeout: time.Second, Priority: 0, Licence: licence},
+			{Name: queueName, Host: host, Prefix: prefix, Pool: poolName, MaxAttempts: 2, Slack: 2, Grace: time.Second, Timeout: time.Second, Priority: 2, Licence: licence},
+		},
+	}, func() {}, s.now)
+	s.p.AddLicenceProxy("p", s.now)
+	submit := func(path string, id definer.JobID, step definer.Step) {
+		s.p.Submit(&planner.Submission{Host: host, Path: path + id.String(), Job: &definer.Job{ID: id, Spec: "spec", Steps: []definer.Step{step}}}, func(planner.Answer) {}, s.now)
+	}
+	for n := range 200 {
+		submit("/u/", definer.JobID(n+100), oneTask(cpus(1)))
+	}
+	submit(prefix, 1, definer.Step{Count: 1, Need: cpus(1), LongRunning: true})
+	for range 180 {
+		for _, a := range s.take(func(a planner.Action) bool { return a.TicketRequest != nil }) {
+			if a.TicketRequest.Step.Job == 1 {
+				return
+			}
+		}
+		s.advance(50 * time.Millisecond)
+		s.answerPolls()
+	}
+	c.Fatal("the licensing service was not called for the long-running step within 9 s")
+}
