--- a/internal/cli/commander/rehearse.go
+++ b/internal/cli/commander/rehearse.go
@@ -35,6 +35,7 @@
 	f.DurationVar(&r.Run, "run", 700*time.Millisecond, "mean run time of a task")
 	f.DurationVar(&r.Duration, "duration", 10*time.Second, "time of sending, at most 10m")
 	f.Int64Var(&r.Seed, "seed", 1, "seed of arrivals, sizes, run times and faults")
+	f.IntVar(&r.Descriptors, "descriptors", 0, "limit of the descriptors of each daemon; 0: the system's")
 	f.BoolVar(&r.Faults, "faults", false, "let things go wrong")
 	f.DurationVar(&r.Profile, "profile", 0, "write processor profiles of this length of the replicas")
 	return cmd
@@ -62,7 +63,7 @@
 	ms := func(q float64) time.Duration { return report.At(q).Round(time.Millisecond) }
 	s.printf("jobs: %d done, %d not; time beyond the declared run time: p50 %s, p90 %s, p99 %s\n", report.Done, report.Lost, ms(0.5), ms(0.9), ms(0.99))
 	for _, d := range report.Daemons {
-		s.printf("%-12s %6s of processor time, %4.1f %% of a core\n", d.Name, d.Processor, 100*d.Processor.Seconds()/r.Duration.Seconds())
+		s.printf("%-12s %6s of processor time, %4.1f %% of a core, %d descriptors\n", d.Name, d.Processor, 100*d.Processor.Seconds()/r.Duration.Seconds(), d.Descriptors)
 	}
 	for _, p := range report.Problems {
 		s.printf("problem: %s\n", p)
--- a/internal/load/mimic/cell.go
+++ b/internal/load/mimic/cell.go
@@ -26,7 +26,8 @@
 	Upkeep   time.Duration   // of a VM
 	// Relayed lets daemons listen for others on another address than the one that
 	// others know, so that a relay can stand in between.
-	Relayed bool
+	Relayed     bool
+	Descriptors int // limit of each daemon; 0: none is declared
 
 	Nodes []*Node
 	zones map[string]string
@@ -90,6 +91,7 @@
 		node.facts = codec.NodeSettings{
 			Name: node.Name, Serves: serves, IP: ip, Zone: names[n%len(names)], Zones: c.zones, Listen: listen, Ports: [2]int{firstInternal, lastInternal},
 			Bootstrap: true, DataDir: node.DataDir, LicensingAddress: c.Licences, VMServiceAddress: c.Keeper, Limits: c.Limits, Upkeep: c.Upkeep,
+			Descriptors: c.Descriptors,
 		}
 		node.Settings = filepath.Join(c.Folder, node.Name+".json")
 		c.Nodes = append(c.Nodes, node)
--- a/internal/load/rehearser/process.go
+++ b/internal/load/rehearser/process.go
@@ -27,6 +27,7 @@
 	program string
 	folder  string
 	relay   *relay // nil: other daemons reach it directly
+	files   int    // limit of its descriptors; 0: the system's
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd // nil: it does not run
@@ -57,7 +58,25 @@
 	}
 	p.log = log
 	p.cmd = cmd
-	return nil
+	if p.files == 0 {
+		return nil
+	}
+	limit := unix.Rlimit{Cur: uint64(p.files), Max: uint64(p.files)}
+	return unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil)
+}
+
+// descriptors returns how many descriptors the running process has open.
+func (p *process) descriptors() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return 0 // it has ended
+	}
+	return len(open)
 }
 
 // signal sends a signal to the daemon, if it runs.
--- a/internal/load/rehearser/rehearser.go
+++ b/internal/load/rehearser/rehearser.go
@@ -45,6 +45,8 @@
 	Duration time.Duration // of sending
 	Seed     int64
 	Faults   bool
+	// Descriptors is the limit of each daemon; 0: the system's.
+	Descriptors int
 	// FullDisks replaces the faults by disks of replicas that are full, one after
 	// another.
 	FullDisks bool
@@ -58,6 +60,8 @@
 	operator *mimic.Client
 	procs    []*process
 	begun    time.Time
+	// descriptors holds the highest number of each daemon; mu guards it.
+	descriptors map[string]int
 
 	mu       sync.Mutex
 	times    []time.Duration
@@ -78,6 +82,8 @@
 type Daemon struct {
 	Name      string
 	Processor time.Duration
+	// Descriptors is the highest number that was seen, twice a second.
+	Descriptors int
 }
 
 // At returns a quantile of the times.
@@ -137,6 +143,8 @@
 		go r.takeProfiles(ctx)
 	}
 	r.begun = time.Now()
+	r.descriptors = make(map[string]int)
+	go r.countDescriptors(ctx)
 	before := r.processorTime()
 	var others sync.WaitGroup
 	calm := make(chan struct{})
@@ -172,12 +180,12 @@
 		Targets: r.Targets, Pool: pool, Seed: r.Seed, Zones: []string{"a", "b", "c"}, Capacity: mimic.Capacity{MilliCPU: cpuMillis, MiB: memoryMiB},
 		Limits: limits, Audit: &emulator.Audit{Begun: time.Now(), CancelTime: cancelTime, EarlyMargin: 250 * time.Millisecond},
 	}
-	r.cell = &mimic.Cell{Folder: r.Folder, Replicas: r.Replicas, Gateways: r.Gateways, Licences: licences, Limits: limits, Relayed: r.Faults}
+	r.cell = &mimic.Cell{Folder: r.Folder, Replicas: r.Replicas, Gateways: r.Gateways, Licences: licences, Limits: limits, Relayed: r.Faults, Descriptors: r.Descriptors}
 	if err := r.cell.Write(); err != nil {
 		return err
 	}
 	for _, n := range r.cell.Nodes {
-		p := &process{node: n, program: r.Program, folder: r.Folder}
+		p := &process{node: n, program: r.Program, folder: r.Folder, files: r.Descriptors}
 		if r.Faults && n.Inner != "" {
 			if p.relay, err = newRelay(ctx, n.Internal, n.Inner); err != nil {
 				return err
@@ -406,7 +414,7 @@
 	slices.Sort(r.times)
 	out := &Report{Done: len(r.times), Lost: r.lost, Times: r.times, Problems: append(r.fleet.Problems(), r.problems...)}
 	for i, p := range r.procs {
-		out.Daemons = append(out.Daemons, Daemon{p.node.Name, after[i] - before[i]})
+		out.Daemons = append(out.Daemons, Daemon{p.node.Name, after[i] - before[i], r.descriptors[p.node.Name]})
 	}
 	return out
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -95,3 +95,34 @@
 		})
 	}
 }
+
+// More targets than connections: targets take turns, and nothing that a daemon opens
+// fails for want of descriptors.
+func TestMoreTargetsThanConnections(t *testing.T) {
+	const limit = 520 // 134 connections to targets
+	program := build(t)
+	for _, faults := range []bool{false, true} {
+		t.Run(fmt.Sprintf("faults=%t", faults), func(t *testing.T) {
+			c := quicktest.New(t)
+			folder := t.ArtifactDir()
+			r := &rehearser.Rehearsal{
+				Program: program, Folder: folder, Targets: 200, Descriptors: limit, Faults: faults, Seed: 1, Rate: 30, Duration: 7 * time.Second,
+				Trace: func(text string) { t.Log(text) },
+			}
+			report, err := r.Play(context.Background())
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(report.Problems, quicktest.HasLen, 0)
+			c.Assert(report.Done > 0, quicktest.IsTrue)
+			most := 0
+			for _, d := range report.Daemons {
+				most = max(most, d.Descriptors)
+				log, err := os.ReadFile(filepath.Join(folder, d.Name+".log"))
+				c.Assert(err, quicktest.IsNil)
+				c.Assert(strings.Contains(string(log), "too many open files"), quicktest.IsFalse, quicktest.Commentf("%s", d.Name))
+				c.Assert(strings.Contains(string(log), "NoDescriptor"), quicktest.IsFalse, quicktest.Commentf("%s", d.Name))
+			}
+			c.Assert(most > 134, quicktest.IsTrue, quicktest.Commentf("the limit did not bind: %d descriptors", most))
+			t.Logf("%d jobs, at most %d descriptors; beyond the declared run time p50 %s, p99 %s", report.Done, most, report.At(0.5), report.At(0.99))
+		})
+	}
+}
