--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -49,7 +49,8 @@
 	RequestTickets(ctx context.Context, step definer.StepID, targets []tracker.TargetID, c *Call) (admitted map[tracker.TargetID]string, busy bool, err error)
 	// ServiceVM takes a VM down for its upkeep.
 	ServiceVM(ctx context.Context, o *planner.VMOrder, c *Call) (planner.VMRefusal, error)
-	ListVMs(ctx context.Context, c *Call) ([]planner.VM, error)
+	// ListVMs returns the VMs of the list, and the number of rows that can't be read.
+	ListVMs(ctx context.Context, c *Call) (vms []planner.VM, unreadable int, err error)
 }
 
 // Limits are the timeouts of calls. Zero values select the defaults.
@@ -163,7 +164,11 @@
 	r.Sent = decided
 	check := d.guard(decided, r.Limit)
 	started := time.Now()
-	answer, err := call(ctx, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }})
+	var answer Answer
+	err := withoutPanic(func() (err error) {
+		answer, err = call(ctx, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }})
+		return err
+	})
 	r.Answered, r.Refusal, r.Clock, r.Failure = err == nil, answer.Refusal, answer.Clock, sendFailure(err)
 	d.recordOutcome(kind, outcomeOf(err, r.Refusal), time.Since(started))
 	d.recordFailure(kind, string(r.Target), err)
@@ -204,7 +209,9 @@
 	ctx, cancel := context.WithTimeout(d.ctx, o.Limit)
 	defer cancel()
 	check := d.guard(decided, o.Limit)
-	err := d.Platform.Poll(ctx, o, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }}, r)
+	err := withoutPanic(func() error {
+		return d.Platform.Poll(ctx, o, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }}, r)
+	})
 	r.Answered, r.Failure = err == nil, sendFailure(err)
 	r.Received = d.Now()
 	d.recordOutcome("look", outcomeOf(err, r.Refusal), r.Received.Sub(decided))
@@ -216,12 +223,17 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
 	check := d.guard(decided, d.Limits.VM)
-	refusal, err := d.Platform.ServiceVM(ctx, o, &Call{Timeout: d.Limits.VM, Guard: func() error {
+	guard := func() error {
 		if d.Leads != nil && !d.Leads() {
 			return errNotLeading
 		}
 		return check()
-	}})
+	}
+	var refusal planner.VMRefusal
+	err := withoutPanic(func() (err error) {
+		refusal, err = d.Platform.ServiceVM(ctx, o, &Call{Timeout: d.Limits.VM, Guard: guard})
+		return err
+	})
 	if err != nil {
 		d.Log.Warn("maintenance order for a vm was not answered", "vm", string(o.VM), "wave", int64(o.Wave), "error", err)
 	}
@@ -231,11 +243,16 @@
 func (d *Dispatcher) listVMs(o *planner.ListOrder) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
-	vms, err := d.Platform.ListVMs(ctx, &Call{Timeout: d.Limits.VM})
-	if err != nil {
-		d.Log.Warn("list of vms was not answered", "error", err)
+	var vms []planner.VM
+	var unreadable int
+	err := withoutPanic(func() (err error) {
+		vms, unreadable, err = d.Platform.ListVMs(ctx, &Call{Timeout: d.Limits.VM})
+		return err
+	})
+	if err != nil || unreadable > 0 {
+		d.Log.Warn("list of vms was not answered, or has rows that can't be read", "rows", unreadable, "error", err)
 	}
-	d.Report(&planner.ListReport{Token: o.Token, Answered: err == nil, VMs: vms})
+	d.Report(&planner.ListReport{Token: o.Token, Answered: err == nil, VMs: vms, Unreadable: unreadable})
 }
 
 // RequestTickets requests tickets from the licensing service and waits for its
@@ -244,7 +261,12 @@
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.Ask)
 	defer cancel()
 	started := time.Now()
-	admitted, busy, err := d.Platform.RequestTickets(ctx, o.Step, o.Targets, &Call{Timeout: d.Limits.Ask})
+	var admitted map[tracker.TargetID]string
+	busy := false
+	err := withoutPanic(func() (err error) {
+		admitted, busy, err = d.Platform.RequestTickets(ctx, o.Step, o.Targets, &Call{Timeout: d.Limits.Ask})
+		return err
+	})
 	outcome := outcomeOf(err, planner.NotRefused)
 	if busy {
 		outcome = "busy"
--- a/internal/daemon/dispatcher/dispatcher_test.go
+++ b/internal/daemon/dispatcher/dispatcher_test.go
@@ -177,3 +177,16 @@
 	c.Assert(lines >= 1 && lines <= 60, quicktest.IsTrue, quicktest.Commentf("%d lines", lines))
 	c.Assert(out.String(), quicktest.Contains, "target=t1 cause=Timeout sent=MayBeSent")
 }
+
+func TestPanicInACallIsItsFailureAlone(t *testing.T) {
+	c := quicktest.New(t)
+	p, k := &platform{delay: func() { panic("deliberate") }}, &clock{now: time.Unix(1000, 0)}
+	limit := 200 * time.Millisecond
+	r := run(c, p, k, nil, planner.Action{Start: &planner.StartOrder{Limit: limit}}).(*planner.OrderReport)
+	c.Assert(r.Answered, quicktest.IsFalse)
+	c.Assert(r.Failure, quicktest.Equals, planner.MayBeSent)
+	polled := run(c, p, k, nil, planner.Action{Poll: &planner.PollOrder{Limit: limit}}).(*planner.PollReport)
+	c.Assert(polled.Answered, quicktest.IsFalse)
+	vm := run(c, p, k, nil, planner.Action{VM: &planner.VMOrder{}}).(*planner.VMReport)
+	c.Assert(vm.Answered, quicktest.IsFalse)
+}
--- a/internal/daemon/dispatcher/failures.go
+++ b/internal/daemon/dispatcher/failures.go
@@ -2,6 +2,8 @@
 
 import (
 	stderrors "errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -59,3 +61,14 @@
 		d.Log.Warn("call was not answered", "call", kind, "target", target, "cause", cause, "sent", sendFailure(err).String(), "error", err)
 	}
 }
+
+// withoutPanic runs a call and turns a panic into an error: an answer that the decoders
+// do not expect must not end the daemon.
+func withoutPanic(call func() error) (err error) {
+	defer func() {
+		if x := recover(); x != nil {
+			err = fmt.Errorf("panic: %v\n%s", x, debug.Stack())
+		}
+	}()
+	return call()
+}
--- a/internal/load/mimic/mimic.go
+++ b/internal/load/mimic/mimic.go
@@ -180,6 +180,19 @@
 	}
 }
 
+// Records returns the records of the targets that run now.
+func (f *Fleet) Records() []tracker.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []tracker.Target
+	for _, h := range f.hosts {
+		if !h.target.Down() {
+			out = append(out, h.target.Record)
+		}
+	}
+	return out
+}
+
 // Running returns how many runs of a job there are.
 func (f *Fleet) Running(id definer.JobID) int {
 	f.mu.Lock()
--- a/internal/load/mimic/services.go
+++ b/internal/load/mimic/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -50,13 +51,13 @@
 	queue.Lock()
 	time.Sleep(l.Base + time.Duration(len(b.Workers))*l.Each)
 	queue.Unlock()
-	answer := codec.Licences{Admitted: [][]string{}}
+	var admitted [][]string
 	for _, id := range b.Workers {
 		if l.Admits == nil || l.Admits(b.Step, id) {
-			answer.Admitted = append(answer.Admitted, []string{string(id), "ticket-" + string(id)})
+			admitted = append(admitted, []string{string(id), "ticket-" + string(id)})
 		}
 	}
-	write(w, http.StatusOK, answer)
+	write(w, http.StatusOK, codec.Licences{Admitted: rows(admitted)})
 }
 
 // Keeper is the service that keeps the VMs of a fleet. The exported fields are
@@ -149,15 +150,23 @@
 	k.mu.Unlock()
 	f := k.Fleet
 	f.mu.Lock()
-	answer := codec.Machines{Machines: []codec.Machine{}}
+	var machines []codec.Machine
 	for _, h := range f.hosts {
 		rec := &h.target.Record
 		m := codec.Machine{Machine: string(rec.VM), Pool: string(rec.Pool), State: "up", Zone: string(rec.Zone), ID: string(rec.ID)}
 		if down[m.Machine] {
 			m.State, m.ID = "upkeep", ""
 		}
-		answer.Machines = append(answer.Machines, m)
+		machines = append(machines, m)
 	}
 	f.mu.Unlock()
-	write(w, http.StatusOK, answer)
+	write(w, http.StatusOK, codec.Machines{Machines: rows(machines)})
+}
+
+func rows[T any](items []T) []json.RawMessage {
+	out, err := codec.Rows(items)
+	if err != nil {
+		panic(fmt.Sprintf("mimic: %v", err)) // rows are plain values
+	}
+	return out
 }
--- a/internal/peer/replica/server.go
+++ b/internal/peer/replica/server.go
@@ -1,14 +1,18 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"masticroad/internal/control/decider"
 )
@@ -43,6 +47,7 @@
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	}
+	opts = append(opts, grpc.ChainUnaryInterceptor(recoverCall), grpc.ChainStreamInterceptor(recoverStream))
 	if s.Credentials != nil {
 		opts = append(opts, grpc.Creds(s.Credentials))
 	}
@@ -60,6 +65,25 @@
 	return g.Serve(countingListener{s.Listener, s.Traffic})
 }
 
+// recoverCall ends a call whose handler panics, and no other.
+func recoverCall(ctx context.Context, req any, _ *grpc.UnaryServerInfo, next grpc.UnaryHandler) (reply any, err error) {
+	defer func() { err = cmp.Or(panicError(recover()), err) }()
+	return next(ctx, req)
+}
+
+// recoverStream is recoverCall for streams.
+func recoverStream(srv any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, next grpc.StreamHandler) (err error) {
+	defer func() { err = cmp.Or(panicError(recover()), err) }()
+	return next(srv, stream)
+}
+
+func panicError(x any) error {
+	if x == nil {
+		return nil
+	}
+	return status.Errorf(codes.Internal, "panic: %v\n%s", x, debug.Stack())
+}
+
 // serveDeliver handles envelopes and acknowledges them every ackInterval, so that
 // the sender detects a dead connection.
 func serveDeliver(srv any, stream grpc.ServerStream) error {
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -157,6 +157,18 @@
 	Clock       ClockMillis
 	Running     []Running
 	Finished    []Finished
+	// Unreadable counts rows of the lists that can't be read. A run that is not listed
+	// may be one of them.
+	Unreadable       int
+	UnreadableReason string // of the first one
+}
+
+// AddUnreadable counts a row that can't be read.
+func (r *PollReport) AddUnreadable(err error) {
+	if r.Unreadable == 0 {
+		r.UnreadableReason = err.Error()
+	}
+	r.Unreadable++
 }
 
 // Running is a run that a target lists as running.
@@ -265,7 +277,8 @@
 
 // ListReport is the list of all VMs.
 type ListReport struct {
-	Token    Token
-	Answered bool
-	VMs      []VM
+	Token      Token
+	Answered   bool
+	VMs        []VM
+	Unreadable int // rows that can't be read; a VM that is not listed may be one of them
 }
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -376,14 +376,29 @@
 		r.listed = true
 		p.recordProgress(r, x, report, now)
 	}
+	if report.Unreadable > 0 {
+		p.logUnreadable(t, report, now)
+	}
 	for _, r := range t.sortedRuns() {
-		if !listed[r.key] {
+		if !listed[r.key] && report.Unreadable == 0 {
 			p.handleAbsence(r, report, now)
 		}
 	}
 	p.adjustPace(t, now)
 }
 
+// logUnreadable logs rows that can't be read, at most once in unreadableInterval for a
+// target.
+func (p *Planner) logUnreadable(t *target, report *PollReport, now Moment) {
+	if now.Monotonic.Sub(t.unreadableLoggedAt) < unreadableInterval {
+		return
+	}
+	t.unreadableLoggedAt = now.Monotonic
+	p.log("target lists rows that can't be read", "target", t.rec.ID, "rows", report.Unreadable, "first", report.UnreadableReason)
+}
+
+const unreadableInterval = 10 * time.Second
+
 // releaseOrphans releases the capacity charged for orphans. Those that still run
 // are in the present report and are charged again.
 func (p *Planner) releaseOrphans(t *target) {
--- a/internal/workflow/planner/unsent_test.go
+++ b/internal/workflow/planner/unsent_test.go
@@ -223,3 +223,47 @@
 	}
 	c.Fatal("no poll was urgent within 4 s without contact")
 }
+
+// A run may be in a row that can't be read, so it does not start elsewhere.
+func TestRunThatIsNotListedBesideUnreadableRowsGoesOn(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	first := s.submit(1, oneTask(cpus(1)))[0]
+	s.acceptStart(first)
+	s.advance(50 * time.Millisecond)
+	for range 20 {
+		for _, o := range s.polls() {
+			r := s.report(o)
+			if o.To.Target == first.To.Target {
+				r.Unreadable, r.UnreadableReason = 1, "running: row has too few columns"
+			}
+			s.p.PollReported(r, s.now)
+		}
+		s.advance(100 * time.Millisecond)
+	}
+	c.Assert(s.runEnds(1), quicktest.HasLen, 0)
+	c.Assert(s.starts(), quicktest.HasLen, 0)
+	c.Assert(s.lines("target lists rows that can't be read"), quicktest.Equals, 1)
+	s.answerPolls()
+	s.advance(50 * time.Millisecond)
+	s.answerPolls()
+	c.Assert(s.runEnds(1), quicktest.DeepEquals, []tracker.End{tracker.EndTargetLost})
+}
+
+// An announcement that was delayed arrives after its sender has left, or after the
+// leader has changed; a target gets work only once it has answered.
+func TestDelayedAnnouncementOfATargetThatLeftBringsItNoWork(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	s.p.Depart("t1", func() {}, s.now)
+	s.advance(100 * time.Millisecond)
+	s.changeTerm(2)
+	for range 10 {
+		s.announce(s.record(1))
+		for _, o := range s.polls() {
+			s.failPoll(o, planner.NotConnected)
+		}
+		s.advance(500 * time.Millisecond)
+	}
+	c.Assert(s.submit(1, oneTask(cpus(1))), quicktest.HasLen, 0)
+}
--- a/internal/workflow/planner/waves.go
+++ b/internal/workflow/planner/waves.go
@@ -320,6 +320,9 @@
 		w := p.State.Waves[id]
 		for _, vm := range slices.Sorted(maps.Keys(w.Down)) {
 			state, known := states[vm]
+			if !known && r.Unreadable > 0 {
+				continue
+			}
 			downFor := time.Duration(now.Wall-w.Down[vm].At) * time.Millisecond
 			if !w.Pending[vm] && downFor > overdueUpkeepFactor*p.Settings.UpkeepTime && (!known || state == VMUp) {
 				p.log("vm list shows that a vm is not down", "vm", string(vm), "wave", int64(id), "known", known)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -106,7 +106,7 @@
 			c := quicktest.New(t)
 			folder := t.ArtifactDir()
 			r := &rehearser.Rehearsal{
-				Program: program, Folder: folder, Targets: 200, Descriptors: limit, Faults: faults, Seed: 1, Rate: 30, Duration: 7 * time.Second,
+				Program: program, Folder: folder, Targets: 300, Descriptors: limit, Faults: faults, Seed: 1, Rate: 30, Duration: 7 * time.Second,
 				Trace: func(text string) { t.Log(text) },
 			}
 			report, err := r.Play(context.Background())
