--- a/internal/cli/commander/docs_test.go
+++ b/internal/cli/commander/docs_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"text/tabwriter"
@@ -16,6 +18,7 @@
 	"masticroad/internal/cli/commander"
 	"masticroad/internal/control/decider"
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/divider"
 	"masticroad/internal/language/evaluator"
 	"masticroad/internal/language/parser"
 	"masticroad/internal/settings/loader"
@@ -194,7 +197,20 @@
 
 func settingsPage() string {
 	return "# Settings\n\n" + generated +
-		"Each daemon reads one INI file. `masticroad check --settings FILE` reports all findings together.\n\n" + loader.Describe()
+		"Each daemon reads one INI file. `masticroad check --settings FILE` reports all findings together.\n\n" + loader.Describe() +
+		"\n## On the prepared VMs\n\n" +
+		"`masticroad platform` reads the file that the platform writes. One key of it is the project's own and may be added by a template:\n\n" +
+		"| Key | Default | Allowed | Effect |\n|---|---|---|---|\n" +
+		"| descriptors | " + formatWeights(divider.DefaultWeights()) + " | weights from 1 to 1000, only those that differ | how the descriptors of the process are divided: " +
+		"the lower one of `max-fds` under `limits` and the system's limit, less fixed numbers for files, services and a reserve, among the purposes that a daemon has |\n"
+}
+
+func formatWeights(w divider.Weights) string {
+	var parts []string
+	for _, p := range slices.Sorted(maps.Keys(w)) {
+		parts = append(parts, fmt.Sprintf("%s=%d", p, w[p]))
+	}
+	return strings.Join(parts, ",")
 }
 
 func commandsPage() string {
--- a/internal/peer/replica/protocol.go
+++ b/internal/peer/replica/protocol.go
@@ -105,7 +105,10 @@
 var decMode = mustDecMode()
 
 func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+		UTF8: cbor.UTF8DecodeInvalid, // one call that is not text must not end the stream with all others
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -148,7 +148,10 @@
 const maxElements = 1 << 21
 
 func mustDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements}.DecMode()
+	m, err := cbor.DecOptions{
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+		UTF8: cbor.UTF8DecodeInvalid, // what is in the log has to be applied, or no replica starts again
+	}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/workflow/tracker/tracker_test.go
+++ b/internal/workflow/tracker/tracker_test.go
@@ -196,3 +196,17 @@
 	s.ApplyEvent(tracker.Event{LeaseRaised: &tracker.LeaseRaised{Short: 3 * time.Second, Long: 5 * time.Second}}, 3)
 	c.Assert(s.LongLease, quicktest.Equals, 5*time.Second)
 }
+
+// An entry that no replica can apply would end all of them, at each start.
+func TestEntryWithTextThatIsNotUTF8IsApplied(t *testing.T) {
+	c := quicktest.New(t)
+	e := tracker.Entry{Events: []tracker.Event{{TargetSeen: &tracker.TargetSeen{Target: tracker.Target{ID: "\xff"}}}}}
+	data, err := e.Encode()
+	c.Assert(err, quicktest.IsNil)
+	s := tracker.New()
+	_, err = s.Apply(1, data)
+	c.Assert(err, quicktest.IsNil)
+	snapshot, err := s.Encode()
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(tracker.New().Restore(snapshot), quicktest.IsNil)
+}
