Judge a lossy network by calls that may have been sent and the number of targets; let a full listener close

Only calls that may have been sent count now, from one in 32 targets on. A listener at its bound without idle connections did not return from Accept when it was closed, so that a planned stop waited for a caller. Both tests failed first.

--- a/internal/peer/acceptor/acceptor.go
+++ b/internal/peer/acceptor/acceptor.go
@@ -32,6 +32,8 @@
 	open   int
 	idle   list.List // of *conn, the one that has been idle longest first
 	closed int       // for room
+	ended  chan struct{}
+	once   sync.Once
 }
 
 // conn is an accepted connection.
@@ -44,7 +46,7 @@
 
 // New returns a listener with a bound.
 func New(l net.Listener, limit int) *Listener {
-	return &Listener{Listener: l, Max: limit, room: make(chan struct{}, 1)}
+	return &Listener{Listener: l, Max: limit, room: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
 // Stats are the gauges and counters of a listener.
@@ -80,7 +82,10 @@
 		if err != nil {
 			return nil, err
 		}
-		l.makeRoom()
+		if !l.makeRoom() {
+			_ = raw.Close() // its caller has had no answer
+			return nil, net.ErrClosed
+		}
 		l.mu.Lock()
 		l.open++
 		l.mu.Unlock()
@@ -88,17 +93,30 @@
 	}
 }
 
-// makeRoom waits until one more connection may be open.
-func (l *Listener) makeRoom() {
+// Close closes the listener and ends an Accept that waits for room. Connections stay
+// open.
+func (l *Listener) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	return l.Listener.Close()
+}
+
+// makeRoom waits until one more connection may be open. It returns false if the
+// listener is closed meanwhile.
+func (l *Listener) makeRoom() bool {
 	for {
 		l.mu.Lock()
 		full := l.open >= l.Max
 		l.mu.Unlock()
 		if !full {
-			return
+			return true
+		}
+		if l.evict() {
+			continue
 		}
-		if !l.evict() {
-			<-l.room
+		select {
+		case <-l.room:
+		case <-l.ended:
+			return false
 		}
 	}
 }
--- a/internal/peer/acceptor/acceptor_test.go
+++ b/internal/peer/acceptor/acceptor_test.go
@@ -122,3 +122,31 @@
 	_, err := get(address, "/")
 	c.Assert(err, quicktest.IsNil)
 }
+
+// A planned stop waits for Accept to end.
+func TestFullListenerCanBeClosed(t *testing.T) {
+	c := quicktest.New(t)
+	raw := listen(c)
+	l := acceptor.New(raw, 1)
+	for range 2 {
+		conn, err := net.Dial("tcp", raw.Addr().String())
+		c.Assert(err, quicktest.IsNil)
+		defer func() { _ = conn.Close() }()
+	}
+	first, err := l.Accept()
+	c.Assert(err, quicktest.IsNil)
+	defer func() { _ = first.Close() }()
+	errs := make(chan error, 1)
+	go func() {
+		_, err := l.Accept()
+		errs <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // Accept waits for room
+	c.Assert(l.Close(), quicktest.IsNil)
+	select {
+	case err := <-errs:
+		c.Assert(err, quicktest.ErrorIs, net.ErrClosed)
+	case <-time.After(waitLimit):
+		c.Fatal("Accept did not end")
+	}
+}
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -64,11 +64,12 @@
 // lossy reports whether calls have been lost recently. Waits are shorter then,
 // since ends on a target stay unseen for as long as a lost poll waits.
 func (p *Planner) lossy(now Moment) bool {
-	return p.recentMisses >= lossyMisses && now.Monotonic.Sub(p.lastMissAt) < lossyWindow
+	return p.recentMisses >= max(lossyMisses, len(p.targets)/lossyShare) && now.Monotonic.Sub(p.lastMissAt) < lossyWindow
 }
 
 const (
 	lossyMisses = 3
+	lossyShare  = 32              // of the targets: with many, a few are always about to be lost
 	lossyWindow = 2 * time.Second // about twice the time until an unanswered poll is detected
 )
 
@@ -94,7 +95,7 @@
 	t.unsentPolls = 0
 	if !r.Answered {
 		t.consecutiveMisses++ // an unanswered poll counts twice, as it waits for long
-		p.recordMiss(t, now.Monotonic.Sub(r.Sent)-r.Limit, now)
+		p.recordMiss(t, r.Failure, now.Monotonic.Sub(r.Sent)-r.Limit, now)
 		t.pollDue = now.Monotonic.Add(p.Limits.PollRetry)
 		return
 	}
@@ -141,12 +142,12 @@
 // timeout. After several in a row the target gets no new work until it answers
 // again; a single call may just have been lost. A miss that is noticed late does
 // not count as a sign of a lossy network, since the leader may have been too busy
-// to read the answer.
-func (p *Planner) recordMiss(t *target, after time.Duration, now Moment) {
+// to read the answer; nor does one of a target that could not be connected to.
+func (p *Planner) recordMiss(t *target, failure SendFailure, after time.Duration, now Moment) {
 	if now.Monotonic.Sub(p.lastMissAt) >= lossyWindow {
 		p.recentMisses = 0
 	}
-	if after < leaderBusyDelay {
+	if after < leaderBusyDelay && failure == MayBeSent {
 		p.recentMisses++
 		p.lastMissAt = now.Monotonic
 	}
@@ -182,6 +183,6 @@
 		t.responsive = false
 		t.pollDue = now.Monotonic.Add(p.Limits.IdlePollWait)
 	default:
-		p.recordMiss(t, 0, now)
+		p.recordMiss(t, MayBeSent, 0, now)
 	}
 }
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -216,7 +216,7 @@
 
 func (p *Planner) unansweredOrder(t *target, r *run, o *OrderReport, now Moment) {
 	if o.Failure != NotSent {
-		p.recordMiss(t, now.Monotonic.Sub(o.Sent)-o.Limit, now)
+		p.recordMiss(t, o.Failure, now.Monotonic.Sub(o.Sent)-o.Limit, now)
 	}
 	if r == nil {
 		return
--- a/internal/workflow/planner/unsent_test.go
+++ b/internal/workflow/planner/unsent_test.go
@@ -267,3 +267,29 @@
 	}
 	c.Assert(s.submit(1, oneTask(cpus(1))), quicktest.HasLen, 0)
 }
+
+// Shorter waits mean more polls. A few targets that are gone are no sign of a lossy
+// network, however often they are polled.
+func TestLostTargetsDoNotShortenTheWaitsOfOthers(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 40)
+	s.acceptStart(s.submit(1, oneTask(cpus(1)))[0])
+	long, short := 0, 0
+	for range 100 {
+		for _, o := range s.polls() {
+			switch n := o.To.Target; {
+			case n == "t38" || n == "t39" || n == "t40":
+				s.failPoll(o, planner.NotConnected)
+				continue
+			case s.p.State.Targets[n] != nil && o.Wait == 150*time.Millisecond:
+				short++
+			case o.Wait == 500*time.Millisecond:
+				long++
+			}
+			s.answerPoll(o, row{target: o.To.Target, task: definer.TaskID{Job: 1}, number: 1})
+		}
+		s.advance(100 * time.Millisecond)
+	}
+	c.Assert(long > 0, quicktest.IsTrue)
+	c.Assert(short, quicktest.Equals, 0)
+}
