--- a/internal/workflow/tracker/tracker_test.go
+++ b/internal/workflow/tracker/tracker_test.go
@@ -210,3 +210,16 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(tracker.New().Restore(snapshot), quicktest.IsNil)
 }
+
+func FuzzRestore(f *testing.F) {
+	s := tracker.New()
+	s.ApplyEvent(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: tracker.Target{ID: "\xff", Labels: []string{"a"}}}}, 1)
+	data, err := s.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_ = tracker.New().Restore(data) // an error or a state, no panic
+	})
+}
