--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the program that runs the cases. It uses the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-GOFLAGS=-mod=mod go build -o bin/driver ./driver
+GOFLAGS=-buildvcs=false go build -o bin/driver ./driver
