--- a/review/driver/cases.go
+++ b/review/driver/cases.go
@@ -24,8 +24,8 @@
 	if err := c.startAll(c.config(1)); err != nil {
 		return nil, err
 	}
+	time.Sleep(firstUptime - time.Since(first.current().begun))
 	if trouble {
-		time.Sleep(firstUptime - time.Since(first.current().begun))
 		first.crash("crash")
 		time.Sleep(time.Second)
 		if err := first.start(); err != nil {
@@ -49,11 +49,9 @@
 	if len(on) == 0 {
 		return nil, fmt.Errorf("no task runs on the worker that is to be lost")
 	}
-	if !trouble {
-		time.Sleep(5 * time.Second)
-		return c.notRunning(tasks), nil
+	if trouble {
+		first.crash("crash for good")
 	}
-	first.crash("crash for good")
 	time.Sleep(25 * time.Second)
 	c.state(job)
 	return c.notRunning(tasks), nil
@@ -157,6 +155,7 @@
 
 // manyEnds: more than 500 short tasks end on one worker while the leader is frozen.
 func manyEnds(c *cell, trouble bool) ([]string, error) {
+	c.use(&fjordstrikk)
 	c.addNodes(5, 7)
 	c.addWorker(64000, zones[0], "b") // best fit prefers the smallest worker
 	for i := range 7 {
--- a/review/driver/cut.go
+++ b/review/driver/cut.go
@@ -11,16 +11,17 @@
 // This file holds the case of a leader that is cut off with the workers of its zone.
 
 const (
-	cutTime        = 5 * time.Second
-	workersPerZone = 10
-	tasks          = 36
-	workerPause    = 25 * time.Millisecond // between the starts of two workers, so that they are polled at different times
+	cutTime         = 5 * time.Second
+	workersPerZone  = 10
+	confinedWorkers = 5 // of 30, a share of 0.167
+	tasks           = 36
+	workerPause     = 25 * time.Millisecond // between the starts of two workers, so that they are polled at different times
 )
 
-// leaderCut: the zone of the leader is cut off from the other zones, by resets. Its workers
-// reach only the machines of their zone.
+// leaderCut: the leader is cut off from all other machines of the system, by resets. A few
+// workers of its zone reach only the leader; all others reach both sides.
 func leaderCut(c *cell, trouble bool) ([]string, error) {
-	c.addNodes(3, 6) // one core machine in each zone
+	c.addNodes(5, 7)
 	c.listenInternal = func(ip string) string { return ip + ":" + relayedPort }
 	relays := make(map[*node]*relay)
 	for _, n := range c.cores() {
@@ -30,26 +31,25 @@
 		}
 		relays[n] = r
 	}
-	var cut atomic.Pointer[node] // the leader whose zone is cut off
-	connected := func(a, b string) bool {
-		l := cut.Load()
-		return l == nil || (a == l.zone) == (b == l.zone)
-	}
+	var cut atomic.Pointer[node] // the leader that is cut off
+	confined := make(map[*worker]*atomic.Bool)
 	for range workersPerZone {
 		for _, zone := range zones {
 			w := c.addWorker(16000, zone, "b")
+			only := &atomic.Bool{} // it reaches only the leader
+			confined[w] = only
 			owners := &ownerCache{cell: c, known: make(map[string]*node)}
 			w.accepts = func(conn net.Conn) bool {
+				l := cut.Load()
+				if l == nil || !only.Load() {
+					return true
+				}
 				n := owners.of(conn)
-				return n == nil || connected(zone, n.zone)
+				return n == nil || n == l
 			}
 			w.reaches = func(address string) bool {
-				for _, n := range c.cores() {
-					if address == n.ip+":"+controlPort {
-						return connected(zone, n.zone)
-					}
-				}
-				return true
+				l := cut.Load()
+				return l == nil || !only.Load() || address == l.ip+":"+controlPort
 			}
 		}
 	}
@@ -70,18 +70,24 @@
 	if leader == nil {
 		return nil, fmt.Errorf("no leader")
 	}
-	on := 0
+	on, chosen := 0, 0
 	for _, w := range c.workers {
-		if w.zone == leader.zone {
-			on += len(c.rec.runningOn(w.id))
+		if running := c.rec.runningOn(w.id); w.zone == leader.zone && len(running) > 0 && chosen < confinedWorkers {
+			confined[w].Store(true)
+			chosen++
+			on += len(running)
+			c.rec.log("worker %s of the leader's zone is to be cut off from the other core machines", w.id)
 		}
 	}
-	c.rec.log("%s leads, in %s, where %d tasks run", leader.name, leader.zone, on)
+	c.rec.log("%s leads, in %s; %d tasks run on those workers", leader.name, leader.zone, on)
+	if on == 0 {
+		return nil, fmt.Errorf("no task runs in the leader's zone")
+	}
 	if trouble {
-		c.rec.log("%s is cut off from the other zones", leader.zone)
+		c.rec.log("%s is cut off from all other machines of the system", leader.name)
 		cut.Store(leader)
 		for n, r := range relays {
-			r.cut(func(from *node) bool { return from != nil && !connected(from.zone, n.zone) })
+			r.cut(func(from *node) bool { return from != nil && (from == leader) != (n == leader) })
 		}
 		relays[leader].refuse()
 		time.Sleep(cutTime)
--- a/review/driver/worker.go
+++ b/review/driver/worker.go
@@ -153,17 +153,63 @@
 // clock is the time on the worker's own clock, in ms since its start.
 func (b *boot) clock() int64 { return time.Since(b.begun).Milliseconds() + 1 }
 
-// guard rejects calls that are meant for another boot.
+// guard rejects calls that are meant for another boot, and records all calls with their
+// answers.
 func (b *boot) guard(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
+		arrived := time.Now()
+		body, _ := io.ReadAll(in.Body)
+		in.Body = io.NopCloser(bytes.NewReader(body))
+		answer := &recordedAnswer{ResponseWriter: out, status: http.StatusOK}
 		if want := in.Header.Get("X-Masticroad-Expect-Instance"); want != "" && want != b.w.id {
-			reply(out, http.StatusMisdirectedRequest, map[string]any{"clock-ms": b.clock()})
-			return
+			reply(answer, http.StatusMisdirectedRequest, map[string]any{"clock-ms": b.clock()})
+		} else {
+			next.ServeHTTP(answer, in)
 		}
-		next.ServeHTTP(out, in)
+		b.w.cell.rec.log("worker %s (born %d) gets %s %s, answers after %d ms: %d %s", b.w.id, b.born, in.URL.Path, body,
+			time.Since(arrived).Milliseconds(), answer.status, summaryOf(answer.body.Bytes()))
 	})
 }
 
+// recordedAnswer keeps what is answered.
+type recordedAnswer struct {
+	http.ResponseWriter
+	status int
+	body   bytes.Buffer
+}
+
+// WriteHeader keeps the status.
+func (a *recordedAnswer) WriteHeader(status int) {
+	a.status = status
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write keeps the body.
+func (a *recordedAnswer) Write(data []byte) (int, error) {
+	a.body.Write(data)
+	return a.ResponseWriter.Write(data)
+}
+
+// summaryOf returns an answer, with the lengths of long lists of runs in their place.
+func summaryOf(data []byte) string {
+	var x struct {
+		Clock    int64   `json:"clock-ms"`
+		Born     int64   `json:"born"`
+		Running  [][]any `json:"running"`
+		Finished [][]any `json:"finished"`
+	}
+	if len(data) < maxRecorded || json.Unmarshal(data, &x) != nil {
+		return string(data)
+	}
+	text := fmt.Sprintf("clock-ms %d, born %d, %d running, %d finished", x.Clock, x.Born, len(x.Running), len(x.Finished))
+	if n := len(x.Finished); n > 0 {
+		text += fmt.Sprintf(" (numbers %.0f to %.0f)", x.Finished[0][0], x.Finished[n-1][0])
+	}
+	return text
+}
+
+const maxRecorded = 400 // bytes of an answer
+
 func reply(out http.ResponseWriter, status int, body map[string]any) {
 	data, _ := json.Marshal(body)
 	out.Header().Set("Content-Type", "application/json")
@@ -440,7 +486,7 @@
 		}
 		body := map[string]any{
 			"service": b.w.cell.service, "address": b.w.address, "zone": b.w.zone, "version": "v1", "slots": 8, "state": state,
-			"cold-remaining-ms": 0, "capacity": map[string]any{"cpu": b.w.cpu, "mem-mb": 2 * b.w.cpu, "gpu": 0}, "labels": b.w.labels,
+			"cold-remaining-ms": 0, "capacity": map[string]any{"cpu": b.w.cpu, "mem-mb": memoryOf(b.w.cpu), "gpu": 0}, "labels": b.w.labels,
 			"machine": b.w.machine, "clock-ms": b.clock(), "seq": b.seq, "born": b.born,
 		}
 		if draining {
@@ -448,6 +494,7 @@
 		}
 		b.mu.Unlock()
 		status, answer, err := b.w.post(b.ctx, address, "/-/instances/"+b.w.id+"/heartbeat", body)
+		b.w.cell.rec.log("worker %s (born %d) sends ping %v (%s) to %s: %d %s %v", b.w.id, b.born, body["seq"], state, address, status, answer, err)
 		if err == nil && status/100 == 2 {
 			if draining {
 				b.mu.Lock()
