Count a voter's promise from the handling of each message

What callers could see: nothing was seen. Cause: a replica read the clock once for all messages that it handles together. A voter that stood still in between, for want of processor time or frozen, counted its promise to the leader from before the heartbeat was sent, and could vote for another within the leader's lease. Evidence: on virtual time, a pause of 5 s between two messages of one batch: the vote was given right after the heartbeat.

--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -231,9 +231,8 @@
 	case <-tick:
 		n.Core.Tick(n.Now())
 	case f := <-n.inbox:
-		now := n.Now()
-		f(now)
-		n.drainInbox(now)
+		f(n.Now())
+		n.drainInbox()
 	}
 	return nil
 }
@@ -245,11 +244,14 @@
 	return n.updates, n.pendingUpdates[0]
 }
 
-func (n *Node) drainInbox(now time.Time) {
+// drainInbox handles the inputs that have arrived. Each is handled at a time after its
+// arrival: this replica promises a leader not to vote for another for a time that counts
+// from the handling of a heartbeat, and the leader's lease begins when it is sent.
+func (n *Node) drainInbox() {
 	for range maxInboxBatch {
 		select {
 		case f := <-n.inbox:
-			f(now)
+			f(n.Now())
 		default:
 			return
 		}
--- a/internal/state/replicator/node_test.go
+++ b/internal/state/replicator/node_test.go
@@ -217,3 +217,78 @@
 	n.propose(c, leader)
 	eventually(c, "a commit with the recovered disk", func() bool { return n.delivered(leader) > before })
 }
+
+// outbox keeps the messages that a node sends.
+type outbox chan replicator.Message
+
+func (o outbox) Send(messages []replicator.Message) {
+	for _, m := range messages {
+		o <- m
+	}
+}
+
+// pausingSource is a source of random numbers that calls pause, once, when it is armed.
+type pausingSource struct {
+	rand.Source
+	pause func()
+}
+
+func (s *pausingSource) Int63() int64 {
+	if pause := s.pause; pause != nil {
+		s.pause = nil
+		pause()
+	}
+	return s.Source.Int63()
+}
+
+// A voter stands still while it handles the first of two messages that it handles together;
+// a heartbeat draws a random election timeout. Guards against a promise to the leader that
+// counts from before the leader's message was sent, so that another replica is elected
+// within the leader's lease.
+func TestPauseBetweenMessagesDoesNotShortenThePromiseToTheLeader(t *testing.T) {
+	c := quicktest.New(t)
+	var mu sync.Mutex
+	now := time.Unix(1000, 0)
+	clock := func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		return now
+	}
+	pause := func() {
+		mu.Lock()
+		defer mu.Unlock()
+		now = now.Add(5 * time.Second)
+	}
+	source := &pausingSource{Source: rand.NewSource(1)}
+	voters := []replicator.ReplicaID{"a.1", "b.1", "c.1"}
+	core := &replicator.Core{Group: 1, ID: "b.1", Durable: true, Timing: replicator.DefaultTiming, Rand: rand.New(source)}
+	core.Start(replicator.StoredState{Snapshot: replicator.Snapshot{Voters: voters}}, clock())
+	source.pause = pause
+	sent := make(outbox, 64)
+	n := &replicator.Node{Core: core, Storage: &faultyDisk{}, Sender: sent, Now: clock}
+	n.Open()
+	heartbeat := replicator.Message{Type: replicator.MsgAppend, Group: 1, From: "a.1", To: "b.1", Term: 1}
+	n.Receive([]replicator.Message{heartbeat})
+	n.Receive([]replicator.Message{heartbeat})
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { _ = n.Run(ctx) })
+	done.Go(func() {
+		for range n.Updates() {
+		}
+	})
+	defer done.Wait()
+	defer cancel()
+	for acked := 0; acked < 2; {
+		if m := <-sent; m.Type == replicator.MsgAppendReply {
+			acked++
+		}
+	}
+	n.Receive([]replicator.Message{{Type: replicator.MsgVote, Group: 1, From: "c.1", To: "b.1", Term: 9}})
+	for {
+		if m := <-sent; m.Type == replicator.MsgVoteReply {
+			c.Assert(m.Reject, quicktest.IsTrue)
+			return
+		}
+	}
+}
