Take a target's clock from when the answer to an order came

Cause: the clock in an answer to an order was taken for the time at which the leader handled the answer. A leader that is late by some tenths of a second so took all clocks for that much behind, and sent leases that were that much too short, of 2.5 to 3 s.

--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -181,6 +181,7 @@
 	case err == nil || !stderrors.As(err, &e) || !e.NotSent():
 		return planner.MayBeSent
 	case e.Local():
+	r.Received = d.Now()
 		return planner.NotSent
 	}
 	return planner.NotConnected
--- a/internal/load/simulator/hosts.go
+++ b/internal/load/simulator/hosts.go
@@ -184,7 +184,10 @@
 			r.Refusal, r.Clock = h.target.Start(o, s.now)
 			s.trace("start of %s run %d token %x at %s (%s): %s", o.Task, o.Number, o.To.Token, h.target.Record.ID, o.To.Target, r.Refusal)
 		}
-		return func() { s.tell(func(p *planner.Planner, now planner.Moment) { p.OrderReported(r, now) }) }
+		return func() {
+			r.Received = s.now
+			s.tell(func(p *planner.Planner, now planner.Moment) { p.OrderReported(r, now) })
+		}
 	})
 }
 
@@ -197,7 +200,10 @@
 			r.Refusal, r.Clock = h.target.Stop(o, s.now)
 			s.trace("stop of %s run %d token %x at %s (%s): %s", o.Task, o.Number, o.To.Token, h.target.Record.ID, o.To.Target, r.Refusal)
 		}
-		return func() { s.tell(func(p *planner.Planner, now planner.Moment) { p.OrderReported(r, now) }) }
+		return func() {
+			r.Received = s.now
+			s.tell(func(p *planner.Planner, now planner.Moment) { p.OrderReported(r, now) })
+		}
 	})
 }
 
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -139,6 +139,7 @@
 	Failure     SendFailure // of an order without a response
 	Refusal     Refusal
 	Clock       ClockMillis // of the response
+	Received    time.Time   // when the response came
 }
 
 // PollReport is the outcome of a poll.
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -205,7 +205,7 @@
 
 func (s *harness) outcome(o *planner.StartOrder, answered bool) *planner.OrderReport {
 	r := &planner.OrderReport{Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Task: o.Task, Number: o.Number, Answered: answered,
-		Sent: s.now.Monotonic.Add(-o.Limit), Limit: o.Limit}
+		Sent: s.now.Monotonic.Add(-o.Limit), Limit: o.Limit, Received: s.now.Monotonic}
 	if answered {
 		r.Clock = s.clock(o.To.Target)
 	}
@@ -355,7 +355,7 @@
 	s.advance(50 * time.Millisecond)
 	s.p.OrderReported(&planner.OrderReport{
 		Target: stop.To.Target, Incarnation: stop.To.Incarnation, Token: stop.To.Token, Task: stop.Task, Number: stop.Number, Stop: true,
-		Sent: s.now.Monotonic, Limit: stop.Limit, Answered: true, Clock: s.clock(stop.To.Target),
+		Sent: s.now.Monotonic, Limit: stop.Limit, Answered: true, Received: s.now.Monotonic, Clock: s.clock(stop.To.Target),
 	}, s.now)
 	s.p.PollReported(early, s.now)
 	s.plan()
@@ -379,7 +379,7 @@
 	s.advance(50 * time.Millisecond)
 	s.p.OrderReported(&planner.OrderReport{
 		Target: stop.To.Target, Incarnation: stop.To.Incarnation, Token: stop.To.Token, Task: stop.Task, Number: stop.Number, Stop: true,
-		Sent: s.now.Monotonic, Limit: stop.Limit, Answered: true, Clock: s.clock(stop.To.Target),
+		Sent: s.now.Monotonic, Limit: stop.Limit, Answered: true, Received: s.now.Monotonic, Clock: s.clock(stop.To.Target),
 	}, s.now)
 	s.p.PollReported(early, s.now)
 	s.plan()
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -196,7 +196,7 @@
 		return
 	}
 	if o.Refusal != RefusedIncarnation {
-		p.recordAnswer(t, o.Clock, now.Monotonic)
+		p.recordAnswer(t, o.Clock, o.Received)
 	}
 	if r == nil {
 		return
