Bound a target's lease by its decision, however old its last answer is

What callers could see: two runs of one task (TWICE) after a change of leaders, on a target that the next leader can't reach. Cause: the next leader counts a lease from when it begins. A lease lasted longer than that from its decision by 2 % of the age of the target's last answer, since the target's clock may have run slow since, and by the time that a target takes to kill what it runs. Only the luck of an election that takes a while covered both. Class: a term of a sum that nobody has written down. Changed: the clock is taken to have run as slow as it may; the next leader adds leaseMargin, which is 0.1 s now (0.02 before), since a busy target's timers are late; restartPause follows it, by the same 0.1 s. Tests, which failed before: TestNextLeaderWaitsForALeaseDecidedWhenItBegins, TestLeaderWaitsForALeaseOfATargetWithASlowClock (with 0.09 s).

--- a/internal/workflow/planner/lease_test.go
+++ b/internal/workflow/planner/lease_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -203,3 +204,107 @@
 	took := s.timeUntilStartedElsewhere(start)
 	c.Assert(took > s.p.Limits.LongLease && took < maxTaskOutage-ticketTime, quicktest.IsTrue, quicktest.Commentf("after %s", took))
 }
+
+// lapse returns when a target's clock reaches the end of a lease.
+func (s *harness) lapse(id tracker.TargetID, deadline planner.ClockMillis) time.Time {
+	at := s.now.Monotonic
+	for s.clockAt(id, at) < deadline {
+		at = at.Add(time.Millisecond)
+	}
+	return at
+}
+
+// missPolls reports that no poll was answered, and plans.
+func (s *harness) missPolls() {
+	for _, o := range s.polls() {
+		r := s.report(o)
+		r.Answered = false
+		s.p.PollReported(r, s.now)
+	}
+	s.plan()
+}
+
+// killTime is how long after the end of its lease a target may still run something.
+const killTime = 90 * time.Millisecond
+
+// A leader decides on a lease at the moment at which the next one begins, after which
+// nothing of it leaves. The target's clock is as slow as it may be, and its last answer
+// has waited in the leader. Guards against a next leader that starts tasks elsewhere while
+// the target still works on them.
+func TestNextLeaderWaitsForALeaseDecidedWhenItBegins(t *testing.T) {
+	for _, waited := range []time.Duration{0, 100 * time.Millisecond, time.Second, 2500 * time.Millisecond, 5 * time.Second} {
+		for _, kind := range []string{"poll", "start", "repeated start"} {
+			t.Run(fmt.Sprintf("%s after %s", kind, waited), func(t *testing.T) {
+				c := quicktest.New(t)
+				s := newHarness(c, 1)
+				s.slow = 0.02
+				s.advance(10 * time.Second)
+				s.answerPolls()
+				start := s.submit(7, oneTask(cpus(1)))[0]
+				id := start.To.Target
+				s.acceptStart(start)
+				s.advance(50 * time.Millisecond)
+				s.answerPolls(row{target: id, task: start.Task, number: 1, percent: 1})
+				s.advance(50 * time.Millisecond)
+				report := s.report(s.polls()[0], row{target: id, task: start.Task, number: 1, percent: 2})
+				s.advance(waited)
+				var deadline planner.ClockMillis
+				switch kind {
+				case "poll":
+					s.p.PollReported(report, s.now)
+					s.plan()
+					deadline = s.polls()[0].Deadline
+				case "start":
+					deadline = s.submit(8, oneTask(cpus(1)))[0].Deadline
+				default:
+					s.loseAnswer(s.submit(8, oneTask(cpus(1)))[0])
+					again := s.starts()[0]
+					c.Assert(again.Repeated, quicktest.IsTrue)
+					deadline = again.Deadline
+				}
+				end := s.lapse(id, deadline).Add(killTime)
+				s.p.State = s.p.State.Clone()
+				s.p.Begin(2, s.now)
+				s.plan()
+				s.now.Monotonic = end
+				s.missPolls()
+				c.Assert(s.runEnds(7), quicktest.HasLen, 0, quicktest.Commentf("the target still works"))
+				for range 20 {
+					s.advance(50 * time.Millisecond)
+					s.missPolls()
+				}
+				c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndTargetLost})
+			})
+		}
+	}
+}
+
+// As above within one leadership: the leader that granted a lease doesn't give up the runs
+// before it is over either.
+func TestLeaderWaitsForALeaseOfATargetWithASlowClock(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	s.slow = 0.02
+	s.advance(10 * time.Second)
+	s.answerPolls()
+	start := s.submit(7, oneTask(cpus(1)))[0]
+	id := start.To.Target
+	s.acceptStart(start)
+	s.advance(50 * time.Millisecond)
+	report := s.report(s.polls()[0], row{target: id, task: start.Task, number: 1, percent: 2})
+	s.advance(2 * time.Second)
+	s.p.PollReported(report, s.now)
+	s.plan()
+	poll := s.polls()[0]
+	s.now.Monotonic = s.lapse(id, poll.Deadline).Add(killTime)
+	lost := s.report(poll)
+	lost.Answered = false
+	s.p.PollReported(lost, s.now)
+	s.plan()
+	c.Assert(s.runEnds(7), quicktest.HasLen, 0, quicktest.Commentf("the target still works"))
+	for range 20 {
+		s.advance(50 * time.Millisecond)
+		s.missPolls()
+	}
+	c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndTargetLost})
+}
--- a/internal/workflow/planner/leases.go
+++ b/internal/workflow/planner/leases.go
@@ -68,7 +68,7 @@
 
 // restartPause is how long a restarted target gets no long-running tasks. A lease of 10 s
 // that began before it is over 9.3 s after a loss that follows.
-const restartPause = 900 * time.Millisecond
+const restartPause = time.Second
 
 // setAnyLease records whether a target may run something under a lease of any length.
 func (p *Planner) setAnyLease(t *target, set bool, now Moment) {
@@ -92,7 +92,7 @@
 // assumeLease records that the runs on a target may continue for a lease measured
 // on the target's clock.
 func (p *Planner) assumeLease(t *target, lease time.Duration, now Moment) {
-	if end := now.Monotonic.Add(p.maxElapsed(lease)); end.After(t.leaseEnd) {
+	if end := now.Monotonic.Add(p.maxElapsed(lease) + leaseMargin); end.After(t.leaseEnd) {
 		t.leaseEnd = end
 	}
 }
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -32,6 +32,7 @@
 	orders        []planner.Action // not yet returned by take
 	records       []planner.LogRecord
 	clocks        map[tracker.TargetID]time.Time
+	slow          float64 // share by which the clocks of targets run slow
 	announcements int64
 }
 
@@ -149,7 +150,11 @@
 
 // clock returns the time on a target's own clock.
 func (s *harness) clock(id tracker.TargetID) planner.ClockMillis {
-	return planner.ClockMillis(1 + s.now.Monotonic.Sub(s.clocks[id]).Milliseconds())
+	return s.clockAt(id, s.now.Monotonic)
+}
+
+func (s *harness) clockAt(id tracker.TargetID, now time.Time) planner.ClockMillis {
+	return planner.ClockMillis(1 + time.Duration(float64(now.Sub(s.clocks[id]))*(1-s.slow)).Milliseconds())
 }
 
 // answerPolls answers all polls; each target lists the rows that name it.
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -95,6 +95,11 @@
 }
 
 func (p *Planner) joinPool(t *target) {
+// minElapsed returns the shortest time that a target's clock may show for a real time.
+func (p *Planner) minElapsed(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - p.Limits.DriftShare))
+}
+
 	pl := p.pools[t.rec.Pool]
 	if pl == nil {
 		pl = &pool{name: t.rec.Pool}
@@ -143,13 +148,15 @@
 }
 
 // extendLease returns the end of the lease to send now, and records until when the
-// target's runs may continue because of it.
+// target's runs may continue because of it. The target's clock is taken to have run as
+// slow as it may since its last answer, so that no lease ends later than maxElapsed(lease)
+// after now, however old that answer is: a new leader counts on this.
 func (p *Planner) extendLease(t *target, lease time.Duration, now Moment) ClockMillis {
 	if !t.hasClock {
 		return 0
 	}
 	lease = min(lease, p.Settings.MaxLease)
-	onTarget := t.clock + ClockMillis(now.Monotonic.Sub(t.clockAt).Milliseconds())
+	onTarget := t.clock + ClockMillis(p.minElapsed(now.Monotonic.Sub(t.clockAt)).Milliseconds())
 	latest := onTarget + ClockMillis(p.Settings.MaxLease.Milliseconds()) // a later deadline was for another clock
 	t.deadline = min(max(t.deadline, onTarget+ClockMillis(lease.Milliseconds())), latest)
 	left := time.Duration(t.deadline-t.clock) * time.Millisecond
@@ -160,9 +167,9 @@
 	return t.deadline
 }
 
-// leaseMargin covers the rounding of clocks to milliseconds and the time that a
-// target takes to kill what it runs.
-const leaseMargin = 20 * time.Millisecond
+// leaseMargin covers the rounding of clocks to milliseconds and the time from the end of
+// a lease until a busy target has killed what it runs.
+const leaseMargin = 100 * time.Millisecond
 
 // recordClock records a target's clock from an answer.
 func (t *target) recordClock(clock ClockMillis, received time.Time) {
