Judge repeated orders to start by the leader lease of their term

Cause: an order to start extends the lease of all that runs on its target. The first order follows a commit, which proves that no later leader has begun; one that repeats an order without an answer follows none. A leader without a majority went on to repeat orders until it gave up, up to 0.34 s after its lease, and the target's lease outlasted what the next leader counts. A poll, and an order about a VM, were judged by whether this daemon leads now, not by the term in which they were decided; a leader that is elected again would have let an order of its earlier term pass. Evidence: on virtual time the next leader gave up a run 3.437 s after it had begun while the target still worked; the same with polls that aren't judged. Changed: StartOrder.Repeated; dispatcher.Leads takes the term. The time until an order is repeated without a report follows the order's timeout (0.3 s more than that; 0.5 s before).

--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/metrics/meter"
 	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/planner"
@@ -72,11 +73,13 @@
 	Log      hclog.Logger
 	Now      func() time.Time // advances while the VM is suspended; makes a system call, so durations that only metrics need use time.Now
 	Report   func(report any)
-	// Leads reports whether this daemon leads now and surely does so for a little
-	// longer; nil: it does. Only then are orders about VMs sent, since the VM service may
-	// not check tokens, and leases of targets extended, since the next leader counts them
-	// from its start.
-	Leads  func() bool
+	// Leads reports whether this daemon holds the leader lease of a term now, so that no
+	// later leader has begun; nil: it does. Only then are orders about VMs sent, since the
+	// VM service may not check tokens, and leases of targets extended by an order that was
+	// decided without a commit, since the next leader counts them from its start. An order
+	// of an earlier term was decided before another leader began, so that the lease of a
+	// present term is no permission for it.
+	Leads  func(registrar.Term) bool
 	Limits Limits
 	Meter  *meter.Meter // nil: no metrics are recorded
 
@@ -140,6 +143,14 @@
 
 func (d *Dispatcher) start(o *planner.StartOrder, decided time.Time) {
 	r := &planner.OrderReport{Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Task: o.Task, Number: o.Number, Limit: o.Limit}
+	if o.Repeated && !d.leads(o.To.Token) {
+		// The commit of the first order proves that no later leader had begun when its lease
+		// was decided; nothing proves it for this one.
+		r.Sent, r.Failure = decided, planner.NotSent
+		d.recordOutcome("start", "unsent", 0)
+		d.Report(r)
+		return
+	}
 	d.sendOrder("start", r, decided, func(ctx context.Context, c *Call) (Answer, error) { return d.Platform.Start(ctx, o, c) })
 	d.Report(r)
 }
@@ -170,6 +181,7 @@
 		return err
 	})
 	r.Answered, r.Refusal, r.Clock, r.Failure = err == nil, answer.Refusal, answer.Clock, sendFailure(err)
+	r.Received = d.Now()
 	d.recordOutcome(kind, outcomeOf(err, r.Refusal), time.Since(started))
 	d.recordFailure(kind, string(r.Target), err)
 }
@@ -181,7 +193,6 @@
 	case err == nil || !stderrors.As(err, &e) || !e.NotSent():
 		return planner.MayBeSent
 	case e.Local():
-	r.Received = d.Now()
 		return planner.NotSent
 	}
 	return planner.NotConnected
@@ -204,7 +215,7 @@
 }
 
 func (d *Dispatcher) poll(o *planner.PollOrder, decided time.Time) {
-	if o.Deadline != 0 && !d.leads() {
+	if o.Deadline != 0 && !d.leads(o.To.Token) {
 		// The next poll extends the lease, or that of the next leader.
 		unextended := *o
 		unextended.Deadline, unextended.Wait = 0, min(o.Wait, unextendedPollWait)
@@ -229,14 +240,15 @@
 // unextendedPollWait is how long a target holds a poll that does not extend its lease.
 const unextendedPollWait = 100 * time.Millisecond
 
-func (d *Dispatcher) leads() bool { return d.Leads == nil || d.Leads() }
+// leads reports whether this daemon holds the leader lease of the term of a token.
+func (d *Dispatcher) leads(token planner.Token) bool { return d.Leads == nil || d.Leads(token.Term()) }
 
 func (d *Dispatcher) serviceVM(o *planner.VMOrder, decided time.Time) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
 	check := d.guard(decided, d.Limits.VM)
 	guard := func() error {
-		if !d.leads() {
+		if !d.leads(o.Token) {
 			return errNotLeading
 		}
 		return check()
--- a/internal/daemon/dispatcher/dispatcher_test.go
+++ b/internal/daemon/dispatcher/dispatcher_test.go
@@ -13,6 +13,7 @@
 	"github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/daemon/dispatcher"
 	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/planner"
@@ -84,7 +85,7 @@
 }
 
 // run carries out an action and returns its report.
-func run(c *quicktest.C, p *platform, k *clock, leads func() bool, a planner.Action) any {
+func run(c *quicktest.C, p *platform, k *clock, leads func(registrar.Term) bool, a planner.Action) any {
 	reports := make(chan any, 1)
 	d := &dispatcher.Dispatcher{Platform: p, Log: hclog.NewNullLogger(), Now: k.Now, Report: func(r any) { reports <- r }, Leads: leads}
 	d.Open(context.Background())
@@ -156,7 +157,7 @@
 	p, k := &platform{}, &clock{now: time.Unix(1000, 0)}
 	leads := true
 	p.delay = func() { leads = false }
-	r := run(c, p, k, func() bool { return leads }, planner.Action{VM: &planner.VMOrder{VM: "m-1"}}).(*planner.VMReport)
+	r := run(c, p, k, func(registrar.Term) bool { return leads }, planner.Action{VM: &planner.VMOrder{VM: "m-1"}}).(*planner.VMReport)
 	c.Assert(r.Answered, quicktest.IsFalse)
 	c.Assert(p.sent, quicktest.Equals, 0)
 }
@@ -199,7 +200,7 @@
 	for _, leads := range []bool{true, false} {
 		p, k := &platform{}, &clock{now: time.Unix(1000, 0)}
 		o := &planner.PollOrder{Deadline: 5000, Cursor: 7, Wait: time.Second, Limit: time.Second}
-		r := run(c, p, k, func() bool { return leads }, planner.Action{Poll: o}).(*planner.PollReport)
+		r := run(c, p, k, func(registrar.Term) bool { return leads }, planner.Action{Poll: o}).(*planner.PollReport)
 		c.Assert(r.Answered, quicktest.IsTrue)
 		c.Assert(p.polled.Deadline != 0, quicktest.Equals, leads)
 		c.Assert(p.polled.Cursor, quicktest.Equals, o.Cursor)
@@ -207,3 +208,35 @@
 		c.Assert(o.Deadline, quicktest.Equals, planner.ClockMillis(5000))
 	}
 }
+
+// token returns a token of a term.
+func token(term registrar.Term) planner.Token { return planner.Token(term) << 16 }
+
+// The leader of term 1 decides to poll after its lease, another one leads in term 2, and
+// the first one leads again in term 3 when the poll leaves: the lease of term 3 is no
+// permission for it.
+func TestPollOfAnEarlierTermExtendsNoLease(t *testing.T) {
+	c := quicktest.New(t)
+	leads := func(term registrar.Term) bool { return term == 3 }
+	for term, extends := range map[registrar.Term]bool{1: false, 3: true} {
+		p, k := &platform{}, &clock{now: time.Unix(1000, 0)}
+		run(c, p, k, leads, planner.Action{Poll: &planner.PollOrder{To: planner.Destination{Token: token(term)}, Deadline: 5000, Limit: time.Second}})
+		c.Assert(p.polled.Deadline != 0, quicktest.Equals, extends, quicktest.Commentf("term %d", term))
+	}
+}
+
+// A leader whose lease is over repeats an order to start that was not answered. Its lease
+// of the target would outlast what the next leader counts from its start.
+func TestRepeatedStartIsNotSentOutsideTheLeaderLease(t *testing.T) {
+	c := quicktest.New(t)
+	for _, test := range []struct{ leads, repeated, sent bool }{{true, true, true}, {false, true, false}, {false, false, true}} {
+		p, k := &platform{}, &clock{now: time.Unix(1000, 0)}
+		o := &planner.StartOrder{Deadline: 5000, Limit: time.Second, Repeated: test.repeated}
+		r := run(c, p, k, func(registrar.Term) bool { return test.leads }, planner.Action{Start: o}).(*planner.OrderReport)
+		c.Assert(p.sent == 1, quicktest.Equals, test.sent, quicktest.Commentf("%+v", test))
+		if !test.sent {
+			c.Assert(r.Answered, quicktest.IsFalse)
+			c.Assert(r.Failure, quicktest.Equals, planner.NotSent)
+		}
+	}
+}
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -135,7 +135,10 @@
 	}
 	s.coordinator.Open(ctx)
 	s.dispatcher.Report = s.coordinator.Report
-	s.dispatcher.Leads = func() bool { return s.clock.Monotonic().Before(s.node.Status().LeaseUntil) }
+	s.dispatcher.Leads = func(term registrar.Term) bool {
+		status := s.node.Status()
+		return status.Term == term && s.clock.Monotonic().Before(status.LeaseUntil)
+	}
 	s.dispatcher.Open(ctx)
 	s.Relayer.Local = s.coordinator
 	s.Log.Info("replica opened", "id", string(identity.Replica), "applied", s.saved.Snapshot.Index, "entries", len(s.saved.Entries))
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -49,6 +49,7 @@
 	Ticket     string
 	Limit      time.Duration // timeout, after which the order counts as unanswered
 	Urgent     bool          // it precedes others where connections are scarce
+	Repeated   bool          // no event was committed between its decision and now
 }
 
 // StopOrder orders a target to stop a run.
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -76,7 +76,7 @@
 // PollReported handles the answer to a poll: what the target runs and what has ended
 // there.
 func (p *Planner) PollReported(r *PollReport, now Moment) {
-	if r.Held && r.Token.term() == p.term {
+	if r.Held && r.Token.Term() == p.term {
 		p.heldPolls--
 	}
 	t := p.targets[r.Target]
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -289,7 +289,8 @@
 // most once.
 func (p *Planner) repeatStart(r *run, now Moment) {
 	if o := p.startOrder(r, now); o != nil {
-		r.retryAt = now.Monotonic.Add(maxOrderTime)
+		o.Repeated = true
+		r.retryAt = now.Monotonic.Add(o.Limit + orderMargin)
 		p.emitStart(r, o)
 	}
 }
@@ -513,8 +514,8 @@
 func (r *run) needsRepeat() bool { return r.state == runUnconfirmed || r.state == runUnsent }
 
 const (
-	maxOrderTime = 500 * time.Millisecond // longer than the timeout of an order
-	stopMargin   = 400 * time.Millisecond // in addition to StopTime, until a stop is repeated
+	orderMargin = 300 * time.Millisecond // in addition to the timeout of an order, until it is repeated without a report
+	stopMargin  = 400 * time.Millisecond // in addition to StopTime, until a stop is repeated
 )
 
 // endRun records the end of a run and updates its target, step and job.
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -138,8 +138,8 @@
 	return Token(p.term)<<epochBits | Token(t.epoch)
 }
 
-// term returns the term of the leader that made a call with the token.
-func (t Token) term() registrar.Term { return registrar.Term(t >> epochBits) }
+// Term returns the term of the leader that made a call with the token.
+func (t Token) Term() registrar.Term { return registrar.Term(t >> epochBits) }
 
 // isCurrent reports whether a call with a token was made in the present term for
 // the target's present incarnation.
