Give up runs only when a poll after their lease has proved the silence

Hypothesis, by reading the rule and the code: a target counts an end as taken note of once it has listed it in calm times. A leader that is out of processor time doesn't read the answer before the call's timeout, or has it in its queue, takes the target for silent, and gives up the run when its lease is over, although the end has been listed and another poll would show it. Class: what this leader was too slow to read is taken for silence. Timeouts of orders that are noticed late are no misses of the target.

--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -139,8 +139,8 @@
 	Answered    bool        // false: no response
 	Failure     SendFailure // of an order without a response
 	Refusal     Refusal
-	Clock       ClockMillis // of the response
 	Received    time.Time   // when the response came
+	Clock       ClockMillis // of the response
 }
 
 // PollReport is the outcome of a poll.
@@ -151,7 +151,7 @@
 	Sent        time.Time
 	Limit       time.Duration // timeout, including the wait of the poll
 	Held        bool          // the poll let the target wait for an end
-	Received    time.Time
+	Received    time.Time     // when the response came, or its lack was noticed
 	Answered    bool
 	Failure     SendFailure // of a poll without a response
 	Refusal     Refusal
--- a/internal/workflow/planner/lease_test.go
+++ b/internal/workflow/planner/lease_test.go
@@ -308,3 +308,82 @@
 	}
 	c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndTargetLost})
 }
+
+// The target lists the end of a run in answers that its leader is too busy to read in time,
+// until the lease is over. Guards against a task that is started elsewhere after its end
+// was listed; the next answer that is read shows it.
+func TestBusyLeaderReadsTheEndsOfATargetBeforeItGivesUpItsRuns(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprintf("late %v", late), func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newHarness(c, 2)
+			start := s.submit(7, oneTask(cpus(1)))[0]
+			id := start.To.Target
+			s.acceptStart(start)
+			s.answerPolls(row{target: id, task: start.Task, number: 1, percent: 10})
+			for range 80 { // 4 s, longer than the lease
+				for _, o := range s.polls() {
+					r := s.report(o)
+					if o.To.Target == id {
+						r.Answered, r.Limit = false, o.Wait+o.Limit
+						r.Sent = s.now.Monotonic.Add(-r.Limit)
+						if late {
+							r.Sent = r.Sent.Add(-200 * time.Millisecond)
+						}
+					}
+					s.p.PollReported(r, s.now)
+				}
+				s.advance(50 * time.Millisecond)
+			}
+			if !late {
+				c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndTargetLost})
+				return
+			}
+			c.Assert(s.runEnds(7), quicktest.HasLen, 0)
+			s.advance(200 * time.Millisecond)
+			s.answerPolls(row{target: id, task: start.Task, number: 1, how: tracker.EndDone})
+			c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndDone})
+			c.Assert(s.starts(), quicktest.HasLen, 0)
+		})
+	}
+}
+
+// A leader that is late for ever gives up the runs of a lost target all the same.
+func TestRunsOfALostTargetAreGivenUpByALateLeader(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	start := s.startLongRunning()
+	begun := s.now.Monotonic
+	for len(s.starts()) == 0 {
+		for _, o := range s.polls() {
+			r := s.report(o)
+			if o.To.Target == start.To.Target {
+				r.Answered, r.Sent = false, s.now.Monotonic.Add(-time.Second)
+			}
+			s.p.PollReported(r, s.now)
+		}
+		s.advance(50 * time.Millisecond)
+		c.Assert(s.now.Monotonic.Sub(begun) < maxTaskOutage, quicktest.IsTrue)
+	}
+}
+
+// Orders whose timeouts a busy leader notices late say nothing about the target, which
+// stays in use.
+func TestTimeoutsOfOrdersThatAreNoticedLateAreNoMisses(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		c := quicktest.New(t)
+		s := newHarness(c, 1)
+		for id := range definer.JobID(3) {
+			unanswered := s.outcome(s.submit(7+id, oneTask(cpus(1)))[0], false)
+			if late {
+				unanswered.Sent = unanswered.Sent.Add(-100 * time.Millisecond)
+			}
+			s.p.OrderReported(unanswered, s.now)
+			s.take(func(planner.Action) bool { return true })
+			if !late && id == 1 {
+				break
+			}
+		}
+		c.Assert(s.p.Load(s.now).Unresponsive == 0, quicktest.Equals, late)
+	}
+}
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -98,6 +98,9 @@
 		p.recordMiss(t, r.Failure, now.Monotonic.Sub(r.Sent)-r.Limit, now)
 		t.pollDue = now.Monotonic.Add(p.Limits.PollRetry)
 		return
+		if r.Received.Sub(r.Sent)-r.Limit < leaderBusyDelay {
+			t.silentAt = r.Sent
+		}
 	}
 	if r.Refusal != NotRefused || r.Answering != 0 && r.Answering != r.Incarnation {
 		p.handlePollRefusal(t, r, now)
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -218,8 +218,11 @@
 const restartClockStep = time.Second // more than the timeout of an order
 
 func (p *Planner) unansweredOrder(t *target, r *run, o *OrderReport, now Moment) {
-	if o.Failure != NotSent {
-		p.recordMiss(t, o.Failure, now.Monotonic.Sub(o.Sent)-o.Limit, now)
+	// An order whose timeout this leader notices late says nothing about the target: its
+	// answer may have come while this leader was busy. Polls go on to extend the lease.
+	late := now.Monotonic.Sub(o.Sent) - o.Limit
+	if o.Failure == NotConnected || o.Failure == MayBeSent && late < leaderBusyDelay {
+		p.recordMiss(t, o.Failure, late, now)
 	}
 	if r == nil {
 		return
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -38,8 +38,9 @@
 
 	polling              bool
 	pollDue              time.Time
-	consecutiveMisses    int // unanswered calls in a row; a poll counts twice
-	unsentPolls          int // polls in a row that could not be sent
+	consecutiveMisses    int       // unanswered calls in a row; a poll counts twice
+	silentAt             time.Time // when the newest poll was sent that proved that the target does not answer
+	unsentPolls          int       // polls in a row that could not be sent
 	incompleteLoggedAt   time.Time
 	endCursor            int64
 	lastContact          time.Time // of the newest announcement or answer
@@ -94,12 +95,12 @@
 	return time.Duration(float64(d) / (1 - p.Limits.DriftShare))
 }
 
-func (p *Planner) joinPool(t *target) {
 // minElapsed returns the shortest time that a target's clock may show for a real time.
 func (p *Planner) minElapsed(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - p.Limits.DriftShare))
 }
 
+func (p *Planner) joinPool(t *target) {
 	pl := p.pools[t.rec.Pool]
 	if pl == nil {
 		pl = &pool{name: t.rec.Pool}
@@ -201,9 +202,7 @@
 		if p.hasDeparted(t, departureTime, now) {
 			p.loseRuns(t, "target departed", now)
 		}
-		if !t.responsive && len(t.runs) > 0 && (now.Monotonic.After(t.leaseEnd) || p.without(WithoutLeaseWait)) {
-			p.loseRuns(t, "lease over", now)
-		}
+		p.loseLapsedRuns(t, now)
 		if len(t.runs) == 0 && p.isRemovable(t, now) {
 			p.log("target removed", "target", id)
 			p.removeTarget(t, now)
@@ -211,6 +210,33 @@
 	}
 }
 
+// loseLapsedRuns ends the runs of an unresponsive target whose lease has expired. The
+// target may have listed ends of these runs in an answer that this leader was too busy to
+// read, so that a poll that was sent after the expiry has to prove the silence.
+func (p *Planner) loseLapsedRuns(t *target, now Moment) {
+	if t.responsive || len(t.runs) == 0 {
+		return
+	}
+	if p.without(WithoutLeaseWait) {
+		p.loseRuns(t, "lease over", now)
+		return
+	}
+	expired := now.Monotonic.Sub(t.leaseEnd)
+	switch {
+	case expired <= 0:
+	case t.silentAt.After(t.leaseEnd):
+		p.loseRuns(t, "lease over", now)
+	case expired > maxSilenceProof:
+		p.loseRuns(t, "lease over, and no poll could prove the silence", now)
+	case !t.polling:
+		t.pollDue = now.Monotonic
+	}
+}
+
+// maxSilenceProof bounds the wait for a poll that proves the silence of a target, so that
+// a long-running task of a lost target runs again within 9 s.
+const maxSilenceProof = 2 * time.Second
+
 func (p *Planner) isRemovable(t *target, now Moment) bool {
 	if p.hasDeparted(t, 2*departureTime, now) {
 		return true
