Let timeouts of calls grow with the lag of the leader

Cause, one part of it: a leader that is out of processor time handles answers late. It took orders and ticket requests for unanswered, repeated them, closed their connections and opened new ones, and sent its ticket requests through other daemons, all of which made it later.

--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -105,7 +105,8 @@
 	dirty           bool                           // placement has to run again
 	stepsByPriority []*step
 	sweepAt         time.Time
-	heldPolls       int       // polls on their way that a target may hold for their wait
+	heldPolls       int // polls on their way that a target may hold for their wait
+	lag             lagEstimate
 	recentMisses    int       // unanswered calls; reset after lossyWindow without one
 	lastMissAt      time.Time // when the newest of them was noticed
 	// progressCheckedAt is when the progress of runs was checked last.
@@ -197,6 +198,7 @@
 	p.passDue = time.Time{}
 	p.holding, p.endangered = nil, nil
 	p.heldPolls = 0
+	p.lag = lagEstimate{}
 	p.stepsByPriority = nil
 	p.round = Round{}
 	p.Counters = Counters{}
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -14,6 +14,7 @@
 	if p.lossy(now) {
 		order.Limit = p.Limits.LossyTimeout
 	}
+	order.Limit += p.lag.present(now.Monotonic)
 	if !t.tokenConfirmed || t.consecutiveMisses > 0 {
 		order.Wait = 0
 	}
@@ -86,6 +87,9 @@
 		return
 	}
 	t.polling = false
+	if r.Answered || r.Failure == MayBeSent {
+		p.observeLag(r.Answered, r.Sent, r.Limit, r.Received, now)
+	}
 	if !r.Answered && r.Failure == NotSent {
 		t.unsentPolls++
 		pause := p.Limits.UnsentRetry << min(t.unsentPolls-1, maxUnsentDoublings)
@@ -94,13 +98,13 @@
 	}
 	t.unsentPolls = 0
 	if !r.Answered {
+		if r.Received.Sub(r.Sent)-r.Limit < leaderBusyDelay {
+			t.silentAt = r.Sent
+		}
 		t.consecutiveMisses++ // an unanswered poll counts twice, as it waits for long
 		p.recordMiss(t, r.Failure, now.Monotonic.Sub(r.Sent)-r.Limit, now)
 		t.pollDue = now.Monotonic.Add(p.Limits.PollRetry)
 		return
-		if r.Received.Sub(r.Sent)-r.Limit < leaderBusyDelay {
-			t.silentAt = r.Sent
-		}
 	}
 	if r.Refusal != NotRefused || r.Answering != 0 && r.Answering != r.Incarnation {
 		p.handlePollRefusal(t, r, now)
@@ -138,10 +142,11 @@
 
 // orderTimeout returns how long to wait for the answer to an order.
 func (p *Planner) orderTimeout(now Moment) time.Duration {
+	limit := p.Limits.OrderTimeout
 	if p.lossy(now) {
-		return p.Limits.LossyTimeout
+		limit = p.Limits.LossyTimeout
 	}
-	return p.Limits.OrderTimeout
+	return limit + p.lag.present(now.Monotonic)
 }
 
 // recordMiss records an unanswered call that was noticed some time after its
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -60,7 +60,7 @@
 	maxTargetsPerRequest = 100                    // the service accepts no more
 	maxCallsPerProxy     = 16                     // pending calls; the service accepts 32
 	maxProxyBacklog      = 250 * time.Millisecond // declared duration of the pending calls; a new leader has few proxies at first
-	requestMargin        = 250 * time.Millisecond // in addition to the declared duration: a dozen round trips between regions
+	requestMargin        = 250 * time.Millisecond // in addition to the declared duration and twice the lag of this leader: a dozen round trips between regions
 	requestExpiry        = 10 * time.Second       // an answer that is later than this is useless
 	requestRetry         = 100 * time.Millisecond // pause after a failed call
 	unreadableRetry      = time.Second            // pause after an answer that can't be read as a whole
@@ -95,7 +95,7 @@
 	proxy.busyUntil = begin.Add(cost)
 	proxy.calls++
 	p.lastRequest++
-	a := &ticketRequest{id: p.lastRequest, step: s, targets: named, proxy: proxy, deadline: proxy.busyUntil.Add(requestMargin)}
+	a := &ticketRequest{id: p.lastRequest, step: s, targets: named, proxy: proxy, deadline: proxy.busyUntil.Add(requestMargin + 2*p.lag.present(now.Monotonic))}
 	p.ticketRequests[a.id] = a
 	s.pendingRequest = a.id
 	p.Counters.TicketRequests++
@@ -197,6 +197,7 @@
 	if received.IsZero() {
 		received = now.Monotonic
 	}
+	p.lag.observe(now.Monotonic.Sub(received), now.Monotonic)
 	for _, id := range a.targets {
 		t := p.targets[id]
 		text, ok := r.Admitted[id]
