Take a departed target for gone only after a conclusive poll

What callers could see: tasks of a target that is taken away start elsewhere while it still works on them (TWICE). Cause: a target that has called its departure and gets no confirmation in time goes on for some seconds. The leader took any call without an answer a second after the call for its end, also one whose timeout it noticed late because it was busy. The same class as giving up runs at the end of a lease. Changed: a poll that was sent more than a second after the call has to go unanswered, with its timeout noticed in time. Test, which failed before: TestRunsOfADepartedTargetGoOnWhileItsLeaderIsLate.

--- a/internal/workflow/planner/departure.go
+++ b/internal/workflow/planner/departure.go
@@ -44,11 +44,16 @@
 // departureTime is the time from the answer to a departure call until the target has ended.
 const departureTime = time.Second
 
-// hasDeparted reports whether a target announced its end at least a given time ago and
-// is silent.
+// hasDeparted reports whether a target announced its end and a poll that was sent at least a
+// given time later has proved that it is silent.
 func (p *Planner) hasDeparted(t *target, after time.Duration, now Moment) bool {
-	silent := t.consecutiveMisses > 0 || p.without(WithoutDepartureCheck)
-	return silent && !t.departedAt.IsZero() && now.Monotonic.Sub(t.departedAt) > after
+	if t.departedAt.IsZero() {
+		return false
+	}
+	if p.without(WithoutDepartureCheck) {
+		return now.Monotonic.Sub(t.departedAt) > after
+	}
+	return t.silentAt.Sub(t.departedAt) > after
 }
 
 // recordSurvival notes that a target has answered a poll that was sent when it should
--- a/internal/workflow/planner/departure_test.go
+++ b/internal/workflow/planner/departure_test.go
@@ -146,3 +146,29 @@
 	}
 	c.Assert(s.submit(7, oneTask(cpus(1))), quicktest.HasLen, 1)
 }
+
+// A target that has announced its end goes on for a while, since the confirmation was late.
+// Its leader is too busy to read its answers in time, which is no silence of the target.
+func TestRunsOfADepartedTargetGoOnWhileItsLeaderIsLate(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	start := s.submit(7, minuteTask)[0]
+	id := start.To.Target
+	s.acceptStart(start)
+	s.answerPolls(row{target: id, task: start.Task, number: 1, percent: 20})
+	s.p.Depart(planner.Departure{Target: id, Incarnation: 1}, func() {}, s.now)
+	for range 50 {
+		s.advance(50 * time.Millisecond)
+		for _, o := range s.polls() {
+			r := s.report(o)
+			if o.To.Target == id {
+				r.Answered, r.Sent = false, r.Sent.Add(-200*time.Millisecond)
+			}
+			s.p.PollReported(r, s.now)
+		}
+	}
+	c.Assert(s.runEnds(7), quicktest.HasLen, 0)
+	s.advance(200 * time.Millisecond)
+	s.answerPolls(row{target: id, task: start.Task, number: 1, how: tracker.EndDone})
+	c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndDone})
+}
