Judge orders about VMs by the term that is their token

Cause: the token of an order about a VM is the term itself; its term was taken as if it were a target's token, whose lowest bits are an epoch. Test: TestOrderAboutAVMIsNotSentAfterTheLeaderLease now has terms as they are and asks that an order of the present term leaves, one of an earlier term not.

--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -143,7 +143,7 @@
 
 func (d *Dispatcher) start(o *planner.StartOrder, decided time.Time) {
 	r := &planner.OrderReport{Target: o.To.Target, Incarnation: o.To.Incarnation, Token: o.To.Token, Task: o.Task, Number: o.Number, Limit: o.Limit}
-	if o.Repeated && !d.leads(o.To.Token) {
+	if o.Repeated && !d.leads(o.To.Token.Term()) {
 		// The commit of the first order proves that no later leader had begun when its lease
 		// was decided; nothing proves it for this one.
 		r.Sent, r.Failure = decided, planner.NotSent
@@ -215,7 +215,7 @@
 }
 
 func (d *Dispatcher) poll(o *planner.PollOrder, decided time.Time) {
-	if o.Deadline != 0 && !d.leads(o.To.Token) {
+	if o.Deadline != 0 && !d.leads(o.To.Token.Term()) {
 		// The next poll extends the lease, or that of the next leader.
 		unextended := *o
 		unextended.Deadline, unextended.Wait = 0, min(o.Wait, unextendedPollWait)
@@ -240,15 +240,14 @@
 // unextendedPollWait is how long a target holds a poll that does not extend its lease.
 const unextendedPollWait = 100 * time.Millisecond
 
-// leads reports whether this daemon holds the leader lease of the term of a token.
-func (d *Dispatcher) leads(token planner.Token) bool { return d.Leads == nil || d.Leads(token.Term()) }
+func (d *Dispatcher) leads(term registrar.Term) bool { return d.Leads == nil || d.Leads(term) }
 
 func (d *Dispatcher) serviceVM(o *planner.VMOrder, decided time.Time) {
 	ctx, cancel := context.WithTimeout(d.ctx, d.Limits.VM)
 	defer cancel()
 	check := d.guard(decided, d.Limits.VM)
 	guard := func() error {
-		if !d.leads(o.Token) {
+		if !d.leads(o.Term()) {
 			return errNotLeading
 		}
 		return check()
--- a/internal/daemon/dispatcher/dispatcher_test.go
+++ b/internal/daemon/dispatcher/dispatcher_test.go
@@ -157,9 +157,16 @@
 	p, k := &platform{}, &clock{now: time.Unix(1000, 0)}
 	leads := true
 	p.delay = func() { leads = false }
-	r := run(c, p, k, func(registrar.Term) bool { return leads }, planner.Action{VM: &planner.VMOrder{VM: "m-1"}}).(*planner.VMReport)
+	leadsInTerm := func(term registrar.Term) bool { return leads && term == 3 }
+	r := run(c, p, k, leadsInTerm, planner.Action{VM: &planner.VMOrder{VM: "m-1", Token: 3}}).(*planner.VMReport)
 	c.Assert(r.Answered, quicktest.IsFalse)
 	c.Assert(p.sent, quicktest.Equals, 0)
+	leads, p.delay = true, nil
+	r = run(c, p, k, leadsInTerm, planner.Action{VM: &planner.VMOrder{VM: "m-1", Token: 2}}).(*planner.VMReport)
+	c.Assert(r.Answered, quicktest.IsFalse, quicktest.Commentf("an order of an earlier term"))
+	r = run(c, p, k, leadsInTerm, planner.Action{VM: &planner.VMOrder{VM: "m-1", Token: 3}}).(*planner.VMReport)
+	c.Assert(r.Answered, quicktest.IsTrue)
+	c.Assert(p.sent, quicktest.Equals, 1)
 }
 
 func TestLogOfFailedCallsIsBounded(t *testing.T) {
--- a/internal/workflow/planner/actions.go
+++ b/internal/workflow/planner/actions.go
@@ -254,6 +254,10 @@
 	Token  Token
 }
 
+// Term returns the term of the leader that decided the order. It is the order's token, as
+// there is no epoch of a VM.
+func (o *VMOrder) Term() registrar.Term { return registrar.Term(o.Token) }
+
 // VMRefusal is the reason why the VM service rejected an order.
 type VMRefusal uint8
 
