Start nothing with a ticket that expires on its way, and take a late dial for no sign of the target

Cause: a leader that is some tenths of a second late decides on runs whose tickets expire before the order arrives. The target refuses, the step asks for another ticket, and all of it adds to what makes the leader late. Changed: a ticket is used while it is valid for twice the lag longer; a connection that is missed more than 0.04 s late counts as not sent, and says nothing about its target. The line 'leader load' has the lag. Tests, which failed before: TestLateLeaderUsesNoTicketThatIsAboutToExpire, TestConnectionThatIsMissedLateSaysNothingAboutTheTarget.

--- a/internal/daemon/dispatcher/dispatcher.go
+++ b/internal/daemon/dispatcher/dispatcher.go
@@ -180,27 +180,32 @@
 		answer, err = call(ctx, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }})
 		return err
 	})
-	r.Answered, r.Refusal, r.Clock, r.Failure = err == nil, answer.Refusal, answer.Clock, sendFailure(err)
 	r.Received = d.Now()
+	r.Answered, r.Refusal, r.Clock, r.Failure = err == nil, answer.Refusal, answer.Clock, sendFailure(err, r.Received.Sub(decided)-r.Limit)
 	d.recordOutcome(kind, outcomeOf(err, r.Refusal), time.Since(started))
-	d.recordFailure(kind, string(r.Target), err)
+	d.recordFailure(kind, string(r.Target), err, r.Failure)
 }
 
-// sendFailure tells from the error of a call whether it may have left this VM.
-func sendFailure(err error) planner.SendFailure {
+// sendFailure tells from the error of a call whether it may have left this VM. Late is how
+// long after the time for a connection that was noticed: the connection may have been there
+// in time, so that a busy daemon says nothing about a target that it did not reach.
+func sendFailure(err error, late time.Duration) planner.SendFailure {
 	var e *connector.CallError
 	switch {
 	case err == nil || !stderrors.As(err, &e) || !e.NotSent():
 		return planner.MayBeSent
-	case e.Local():
+	case e.Local() || late > lateNotice:
 		return planner.NotSent
 	}
 	return planner.NotConnected
 }
 
+// lateNotice is how late an idle daemon notices that a time is over, at most.
+const lateNotice = 40 * time.Millisecond
+
 func outcomeOf(err error, refusal planner.Refusal) string {
 	switch {
-	case err != nil && sendFailure(err) != planner.MayBeSent:
+	case err != nil && sendFailure(err, 0) != planner.MayBeSent:
 		return "unsent"
 	case err != nil:
 		return "unanswered"
@@ -230,10 +235,10 @@
 	err := withoutPanic(func() error {
 		return d.Platform.Poll(ctx, o, &Call{Timeout: r.Limit, Guard: func() error { r.Sent = d.Now(); return check() }}, r)
 	})
-	r.Answered, r.Failure = err == nil, sendFailure(err)
 	r.Received = d.Now()
+	r.Answered, r.Failure = err == nil, sendFailure(err, r.Received.Sub(decided)-o.Limit)
 	d.recordOutcome("look", outcomeOf(err, r.Refusal), r.Received.Sub(decided))
-	d.recordFailure("look", string(r.Target), err)
+	d.recordFailure("look", string(r.Target), err, r.Failure)
 	d.Report(r)
 }
 
@@ -291,7 +296,7 @@
 		outcome = "busy"
 	}
 	d.recordOutcome("licence", outcome, time.Since(started))
-	d.recordFailure("licence", "", err)
+	d.recordFailure("licence", "", err, sendFailure(err, 0))
 	r.Answered = err == nil && !r.Busy
 	return r
 }
--- a/internal/daemon/dispatcher/dispatcher_test.go
+++ b/internal/daemon/dispatcher/dispatcher_test.go
@@ -247,3 +247,21 @@
 		}
 	}
 }
+
+// A busy daemon notices late that a connection was not there in time. It may have been: the
+// target is not taken for unreachable.
+func TestConnectionThatIsMissedLateSaysNothingAboutTheTarget(t *testing.T) {
+	c := quicktest.New(t)
+	limit := 200 * time.Millisecond
+	for _, test := range []struct {
+		after time.Duration
+		want  planner.SendFailure
+	}{{limit, planner.NotConnected}, {limit + 100*time.Millisecond, planner.NotSent}} {
+		k := &clock{now: time.Unix(1000, 0)}
+		p := &platform{err: &connector.CallError{Cause: connector.CauseUnreachable}, delay: func() { k.advance(test.after) }}
+		started := run(c, p, k, nil, planner.Action{Start: &planner.StartOrder{Limit: limit}}).(*planner.OrderReport)
+		c.Assert(started.Failure, quicktest.Equals, test.want, quicktest.Commentf("start after %s", test.after))
+		polled := run(c, p, k, nil, planner.Action{Poll: &planner.PollOrder{Limit: limit, Wait: time.Second}}).(*planner.PollReport)
+		c.Assert(polled.Failure, quicktest.Equals, test.want, quicktest.Commentf("poll after %s", test.after))
+	}
+}
--- a/internal/daemon/dispatcher/failures.go
+++ b/internal/daemon/dispatcher/failures.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"masticroad/internal/peer/connector"
+	"masticroad/internal/workflow/planner"
 )
 
 // This file records calls without an answer: each in a counter by cause, and the
@@ -43,7 +44,7 @@
 	return true, dropped
 }
 
-func (d *Dispatcher) recordFailure(kind, target string, err error) {
+func (d *Dispatcher) recordFailure(kind, target string, err error, failure planner.SendFailure) {
 	if err == nil {
 		return
 	}
@@ -58,7 +59,7 @@
 		d.Log.Warn("calls without an answer were not logged", "calls", dropped)
 	}
 	if write {
-		d.Log.Warn("call was not answered", "call", kind, "target", target, "cause", cause, "sent", sendFailure(err).String(), "error", err)
+		d.Log.Warn("call was not answered", "call", kind, "target", target, "cause", cause, "sent", failure.String(), "error", err)
 	}
 }
 
--- a/internal/workflow/planner/lag_test.go
+++ b/internal/workflow/planner/lag_test.go
@@ -8,6 +8,7 @@
 
 	"masticroad/internal/workflow/definer"
 	"masticroad/internal/workflow/planner"
+	"masticroad/internal/workflow/tracker"
 )
 
 // A leader is out of processor time and handles each answer late. Guards against one that
@@ -63,3 +64,26 @@
 		c.Assert(len(requests) == 1, quicktest.Equals, lag > 0, quicktest.Commentf("lag %s: %d requests", lag, len(requests)))
 	}
 }
+
+// A late leader starts nothing with a ticket that expires before the order arrives: the
+// target would refuse it, and the step would ask for another one.
+func TestLateLeaderUsesNoTicketThatIsAboutToExpire(t *testing.T) {
+	c := quicktest.New(t)
+	for _, lag := range []time.Duration{0, 600 * time.Millisecond} {
+		s := newHarness(c, 1)
+		s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second, Licence: definer.Licence{
+			Required: true, BaseLatency: 28 * time.Millisecond, LatencyPerTarget: 400 * time.Microsecond, TicketValidity: 2 * time.Second}})
+		s.p.AddLicenceProxy("vm1", s.now)
+		s.submitUnchecked(7, oneTask(cpus(1)))
+		s.plan()
+		requests := s.take(func(a planner.Action) bool { return a.TicketRequest != nil })
+		c.Assert(requests, quicktest.HasLen, 1)
+		s.advance(50 * time.Millisecond)
+		s.p.TicketsReported(&planner.TicketReport{
+			ID: requests[0].TicketRequest.ID, Answered: true, Admitted: map[tracker.TargetID]string{targetID(1): "ticket"},
+			Received: s.now.Monotonic.Add(-lag),
+		}, s.now)
+		s.plan()
+		c.Assert(len(s.starts()) == 1, quicktest.Equals, lag == 0)
+	}
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -199,7 +199,7 @@
 	b := bestTarget{}
 	for i := range s.grants.tickets {
 		x := &s.grants.tickets[i]
-		if t := x.target; t != excluded && p.isFeasible(s, pl, t, now) && x.valid(now) && t.rec.Pool == pl.name {
+		if t := x.target; t != excluded && p.isFeasible(s, pl, t, now) && p.isUsable(x, now) && t.rec.Pool == pl.name {
 			b.consider(t, p.score(s, t, now))
 		}
 	}
@@ -230,7 +230,7 @@
 	if !p.isEligible(s, t, now) {
 		return false
 	}
-	return !s.job.rec.Queue.Licence.Required || s.grants.ticket(t).valid(now)
+	return !s.job.rec.Queue.Licence.Required || p.isUsable(s.grants.ticket(t), now)
 }
 
 // isEligible reports whether a step may run on a target now, capacity and tickets
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -147,11 +147,13 @@
 	// been without a run that is known to be alive.
 	LongestOutage time.Duration
 	Untracked     int // tasks of started steps that neither have a run nor wait for one
+	// Lag is how late this leader handles what has arrived; timeouts allow for it.
+	Lag time.Duration
 }
 
 // Load counts tasks, runs, jobs, targets and ticket requests.
 func (p *Planner) Load(now Moment) Load {
-	l := Load{Jobs: len(p.jobs), Targets: len(p.targets), TicketRequests: len(p.ticketRequests)}
+	l := Load{Jobs: len(p.jobs), Targets: len(p.targets), TicketRequests: len(p.ticketRequests), Lag: p.lag.present(now.Monotonic)}
 	for _, s := range p.steps {
 		l.Waiting += len(s.waiting)
 	}
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -87,9 +87,7 @@
 		return
 	}
 	t.polling = false
-	if r.Answered || r.Failure == MayBeSent {
-		p.observeLag(r.Answered, r.Sent, r.Limit, r.Received, now)
-	}
+	p.observeLag(r.Answered, r.Sent, r.Limit, r.Received, now)
 	if !r.Answered && r.Failure == NotSent {
 		t.unsentPolls++
 		pause := p.Limits.UnsentRetry << min(t.unsentPolls-1, maxUnsentDoublings)
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -180,9 +180,7 @@
 		r.pendingOrders--
 		r.mayBeSent = r.mayBeSent || o.Answered || o.Failure == MayBeSent
 	}
-	if o.Answered || o.Failure == MayBeSent {
-		p.observeLag(o.Answered, o.Sent, o.Limit, o.Received, now)
-	}
+	p.observeLag(o.Answered, o.Sent, o.Limit, o.Received, now)
 	if !o.Answered {
 		p.unansweredOrder(t, r, o, now)
 		return
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -20,6 +20,12 @@
 // start and the transmission of the order.
 const ticketMargin = 250 * time.Millisecond
 
+// isUsable reports whether a start that is decided now reaches its target with a valid ticket.
+// A late leader takes its lag for the commit, and once more for the order.
+func (p *Planner) isUsable(t *ticket, now Moment) bool {
+	return t.validFor(2*p.lag.present(now.Monotonic), now)
+}
+
 // licenceProxy is a daemon through which the licensing service is called.
 type licenceProxy struct {
 	id        LicenceProxyID
@@ -122,7 +128,7 @@
 	var known, unknown []option
 	for _, x := range p.poolScan(pl, now).withRoom(s.def.Charge()) {
 		t := x.target
-		if !s.grants.mayAdmit(t) || !p.isFeasible(s, pl, t, now) || s.grants.ticket(t).valid(now) {
+		if !s.grants.mayAdmit(t) || !p.isFeasible(s, pl, t, now) || p.isUsable(s.grants.ticket(t), now) {
 			continue
 		}
 		o := option{t.rec.ID, p.score(s, t, now)}
