Take a recent silent poll for proof that a target is silent

What callers saw: tasks of lost targets started up to half a second later since runs were given up only after a poll that was sent after the lease. Cause: the poll had to be sent after the end of the lease, which adds its wait, timeout and pause. Changed: the newest poll may have been sent up to 1 s before the end of the lease; an answer, or a timeout that is noticed late, voids the proof.

--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -96,6 +96,7 @@
 	}
 	t.unsentPolls = 0
 	if !r.Answered {
+		t.silentAt = time.Time{}
 		if r.Received.Sub(r.Sent)-r.Limit < leaderBusyDelay {
 			t.silentAt = r.Sent
 		}
@@ -133,6 +134,7 @@
 		p.dirty = true
 	}
 	t.consecutiveMisses = 0
+	t.silentAt = time.Time{}
 	t.responsive = true
 	t.lastContact = received
 	t.recordClock(clock, received)
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -39,7 +39,7 @@
 	polling              bool
 	pollDue              time.Time
 	consecutiveMisses    int       // unanswered calls in a row; a poll counts twice
-	silentAt             time.Time // when the newest poll was sent that proved that the target does not answer
+	silentAt             time.Time // when the newest poll was sent, if its outcome proved that the target does not answer
 	unsentPolls          int       // polls in a row that could not be sent
 	incompleteLoggedAt   time.Time
 	endCursor            int64
@@ -212,7 +212,7 @@
 
 // loseLapsedRuns ends the runs of an unresponsive target whose lease has expired. The
 // target may have listed ends of these runs in an answer that this leader was too busy to
-// read, so that a poll that was sent after the expiry has to prove the silence.
+// read, so that a recent poll has to prove the silence: one whose timeout was noticed in time.
 func (p *Planner) loseLapsedRuns(t *target, now Moment) {
 	if t.responsive || len(t.runs) == 0 {
 		return
@@ -224,7 +224,7 @@
 	expired := now.Monotonic.Sub(t.leaseEnd)
 	switch {
 	case expired <= 0:
-	case t.silentAt.After(t.leaseEnd):
+	case t.silentAt.After(t.leaseEnd.Add(-maxProofAge)):
 		p.loseRuns(t, "lease over", now)
 	case expired > maxSilenceProof:
 		p.loseRuns(t, "lease over, and no poll could prove the silence", now)
@@ -233,6 +233,10 @@
 	}
 }
 
+// maxProofAge is how long before the end of a lease a silent poll may have been sent: about
+// twice the interval of polls of a silent target.
+const maxProofAge = time.Second
+
 // maxSilenceProof bounds the wait for a poll that proves the silence of a target, so that
 // a long-running task of a lost target runs again within 9 s.
 const maxSilenceProof = 2 * time.Second
