--- a/internal/workflow/planner/lag_test.go
+++ b/internal/workflow/planner/lag_test.go
@@ -87,3 +87,19 @@
 		c.Assert(len(s.starts()) == 1, quicktest.Equals, lag == 0)
 	}
 }
+
+// The answer to an order has waited in the leader. Guards against leases that are too short
+// by that time, since the clock in the answer was taken for that of its handling.
+func TestLeaseIsFullAfterAnAnswerThatWaited(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	first := s.submit(7, oneTask(cpus(1)))[0]
+	s.advance(2 * time.Second)
+	late := s.outcome(first, true)
+	s.advance(400 * time.Millisecond)
+	s.p.OrderReported(late, s.now)
+	s.plan()
+	next := s.submit(8, oneTask(cpus(1)))[0]
+	lease := time.Duration(next.Deadline-s.clock(next.To.Target)) * time.Millisecond
+	c.Assert(lease > s.p.Limits.InitialLease-50*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", lease))
+}
