--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -31,6 +31,7 @@
 	"leave":   playLeave,
 	"gang":    playGang,
 	"pending": playPending,
+	"lasting": playLasting,
 }
 
 // timeLimit ends a case that takes too long.
