Review case 10: a change of the leader doubles the wait for a worker that has started again

Cause: a new leader assumes the longest lease for a worker that had started again within the last 10 s, counted from its own begin; a task that lasts on it then stands still for longer than is allowed when it is lost.

--- a/review/standins-2/lasting.go
+++ b/review/standins-2/lasting.go
@@ -55,34 +55,34 @@
 
 // stoodStill reports whether the task of a job had no run for 3 s after 4 s of calm, later than
 // 6 s after its last run.
-func (w *world) stoodStill(id string, sound time.Time) bool {
+func (w *world) stoodStill(id string, calm time.Time) bool {
 	last, next := time.Time{}, time.Now()
 	for _, r := range w.runsOf(id) {
 		r.worker.mu.Lock()
 		end := r.endedAt
 		r.worker.mu.Unlock()
 		switch {
-		case r.startedAt.After(sound):
+		case r.startedAt.After(calm):
 			if r.startedAt.Before(next) {
 				next = r.startedAt
 			}
-		case end.IsZero() || end.After(sound.Add(4*time.Second)):
+		case end.IsZero() || end.After(calm.Add(4*time.Second)):
 			w.note("job %s runs all the while", id)
 			return false
 		case end.After(last):
 			last = end
 		}
 	}
-	from := sound.Add(4 * time.Second)
+	from := calm.Add(4 * time.Second)
 	if x := last.Add(6 * time.Second); x.After(from) {
 		from = x
 	}
 	gap := next.Sub(from)
-	w.note("job %s: its last run ended %d ms before the worker was sound, the next one began %d ms after; %d ms of that count", id,
-		sound.Sub(last).Milliseconds(), next.Sub(sound).Milliseconds(), gap.Milliseconds())
+	w.note("job %s: its last run ended %d ms before the calm, the next one began %d ms after its begin; %d ms of that count", id,
+		calm.Sub(last).Milliseconds(), next.Sub(calm).Milliseconds(), gap.Milliseconds())
 	if gap < 3*time.Second {
 		return false
 	}
-	w.note("LOST: the task of job %s that lasts had no run for over 3 s, with the worker sound, calm and nearly empty", id)
+	w.note("LOST: the task of job %s that lasts had no run for over 3 s of calm, with the service nearly empty", id)
 	return true
 }
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -32,6 +32,7 @@
 	"gang":    playGang,
 	"pending": playPending,
 	"lasting": playLasting,
+	"flap":    playFlap,
 }
 
 // timeLimit ends a case that takes too long.
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -94,8 +94,13 @@
 func (w *world) addWorker(labels ...string) *worker {
 	w.nextHost++
 	ip := fmt.Sprintf("%s.%d", w.subnet, 30+w.nextHost)
+	return w.addWorkerAt(fmt.Sprintf("i-%08x", 0x7f3a0000+w.nextHost), fmt.Sprintf("%s:%d", ip, workerPort), labels...)
+}
+
+// addWorkerAt starts a boot of a worker with an id at an address.
+func (w *world) addWorkerAt(id, address string, labels ...string) *worker {
 	k := &worker{
-		w: w, id: fmt.Sprintf("i-%08x", 0x7f3a0000+w.nextHost), address: fmt.Sprintf("%s:%d", ip, workerPort), labels: labels, cpu: 16000,
+		w: w, id: id, address: address, labels: labels, cpu: 16000,
 		born: time.Now(), control: w.controlAddresses(), state: "ready", running: make(map[string]*run), past: make(map[string]int),
 		changed: make(chan struct{}), hears: make(chan struct{}), next: w.nextHost % replicas,
 	}
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -65,7 +65,8 @@
 
 // node is one process of masticroad.
 type node struct {
-	name, ip string
+	name     string
+	settings string // path of its settings file
 	cmd      *exec.Cmd
 }
 
@@ -197,11 +198,20 @@
 	if err := os.WriteFile(path, data, 0o644); err != nil {
 		fail("%v", err)
 	}
+	n := &node{name: name, settings: path}
+	w.startAgain(n)
+	w.mu.Lock()
+	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
+}
+
+// startAgain starts the process of a machine. REVIEW_LOGS may name a folder for its log.
+func (w *world) startAgain(n *node) {
 	cmd := exec.Command(w.program, "platform")
-	cmd.Env = []string{"MASTICROAD_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + w.folder}
+	cmd.Env = []string{"MASTICROAD_SETTINGS=" + n.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + w.folder}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if logs := os.Getenv("REVIEW_LOGS"); logs != "" {
-		if f, err := os.Create(filepath.Join(logs, name+".log")); err == nil {
+		if f, err := os.OpenFile(filepath.Join(logs, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644); err == nil {
 			cmd.Stdout, cmd.Stderr = f, f
 		}
 	}
@@ -209,7 +219,7 @@
 		fail("%v", err)
 	}
 	w.mu.Lock()
-	w.nodes = append(w.nodes, &node{name, ip, cmd})
+	n.cmd = cmd
 	w.mu.Unlock()
 }
 
