Review case 8: a job runs for good although its cancelling was acknowledged

Cause: the cancelling of an unknown id is answered with 410 and leaves no trace, so that a request that a frozen gateway still holds creates the job afterwards.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -33,6 +33,7 @@
 	"pending": playPending,
 	"lasting": playLasting,
 	"flap":    playFlap,
+	"cancel":  playCancel,
 }
 
 // timeLimit ends a case that takes too long.
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -28,7 +28,6 @@
 
 const (
 	replicas = 3
-	gateways = 2
 	zone     = "zone-a"
 	service  = "svc"
 	host     = "jobs.example"
@@ -59,6 +58,7 @@
 	workers  []*worker
 	gangs    map[string][]*run
 	history  []*run // all runs that any worker has begun, in that order
+	gateways int
 	nextHost int
 	lastJob  uint64
 }
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	w := &world{
-		program: program, folder: folder, record: f, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", gangs: make(map[string][]*run),
+		program: program, folder: folder, record: f, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", gangs: make(map[string][]*run), gateways: 2,
 		lastJob: rand.Uint64(),
 	}
 	for range 200 {
@@ -96,7 +96,7 @@
 }
 
 func (w *world) subnetIsFree() bool {
-	for _, last := range []int{1, 2, 3, 11, 12} {
+	for _, last := range []int{1, 2, 3, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20} {
 		for _, port := range []int{frontendPort, controlPort, readinessPort, 7720, 9464} {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", w.subnet, last, port))
 			if err != nil {
@@ -149,11 +149,11 @@
 	for i := range replicas {
 		w.startNode(fmt.Sprintf("core-%d", i+1), fmt.Sprintf("%s.%d", w.subnet, i+1), true)
 	}
-	for i := range gateways {
+	for i := range w.gateways {
 		w.startNode(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("%s.%d", w.subnet, i+11), false)
 	}
 	w.await("ready gateways", 20*time.Second, func() bool {
-		for i := range gateways {
+		for i := range w.gateways {
 			resp, err := http.Get(fmt.Sprintf("http://%s.%d:%d/-/readyz", w.subnet, i+11, readinessPort))
 			if err != nil {
 				return false
@@ -165,7 +165,7 @@
 		}
 		return true
 	})
-	w.note("%d replicas and %d gateways are ready", replicas, gateways)
+	w.note("%d replicas and %d gateways are ready", replicas, w.gateways)
 }
 
 func (w *world) startNode(name, ip string, core bool) {
@@ -282,7 +282,7 @@
 
 // gateway returns the frontend address of a gateway.
 func (w *world) gateway(i int) string {
-	return fmt.Sprintf("%s.%d:%d", w.subnet, 11+i%gateways, frontendPort)
+	return fmt.Sprintf("%s.%d:%d", w.subnet, 11+i%w.gateways, frontendPort)
 }
 
 // submit hands a job in until it is accepted, and returns its id.
