Review case 9: a change of the leader begins the wait for a worker that had started again anew

Cause: a new leader assumes the longest lease for a worker that had started again within the last 10 s, counted from its own begin; a task that lasts on it then stands still for longer than is allowed when it is lost.

--- a/review/standins-2/flap.go
+++ b/review/standins-2/flap.go
@@ -1,18 +1,20 @@
 package main
 
 import (
-	"syscall"
 	"time"
 )
 
 // This file plays a worker that goes down, comes back under its id, gets a task that lasts and
-// goes down for good, while the leader is restarted as planned.
+// goes down for good, while the leader is killed.
+
+// contact is contact-ms. Calm is counted from then on, the reading that favours the system.
+const contact = 3 * time.Second
 
 const (
 	flapDown    = time.Second             // the first time
 	flapUp      = 1800 * time.Millisecond // from then until the job is handed in
 	flapWork    = 900 * time.Millisecond
-	flapRestart = 500 * time.Millisecond // from the end of the leader's process to its start
+	flapRestart = 100 * time.Millisecond // from the end of the leader's process to its start
 )
 
 func playFlap(w *world) bool {
@@ -36,9 +38,12 @@
 	calm := time.Now()
 	if w.trouble {
 		k.stop("it is lost for good")
-		calm = w.restartLeader(k)
+		calm = w.killLeader(k)
+	}
+	time.Sleep(time.Until(calm.Add(15 * time.Second)))
+	if w.trouble {
+		calm = calm.Add(contact)
 	}
-	time.Sleep(time.Until(calm.Add(14 * time.Second)))
 	return w.stoodStill(job, calm)
 }
 
@@ -51,16 +56,15 @@
 	return n
 }
 
-// restartLeader restarts the process that the pings of a worker are sent to, which is the
-// leader, as planned work does. It returns when the process was started again.
-func (w *world) restartLeader(k *worker) time.Time {
+// killLeader kills the process that the pings of a worker are sent to, which is the leader, and
+// returns when it was started again.
+func (w *world) killLeader(k *worker) time.Time {
 	k.mu.Lock()
 	n := w.nodes[k.next%replicas]
 	k.mu.Unlock()
-	w.note("SIGTERM to %s, which leads", n.name)
-	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	w.note("SIGKILL to %s, which leads", n.name)
+	_ = n.cmd.Process.Kill()
 	_ = n.cmd.Wait()
-	w.note("%s has ended", n.name)
 	time.Sleep(flapRestart)
 	w.startAgain(n)
 	w.note("%s has started again", n.name)
