--- a/review/standins-2/cancel.go
+++ b/review/standins-2/cancel.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -14,8 +15,9 @@
 
 const (
 	cancelGateways = 10 // one of them freezes at a time
-	cancelTrials   = 5
-	freezeTime     = 900 * time.Millisecond
+	cancelTrials   = 3
+	cancelJobs     = 6 // that a gateway holds when it goes on
+	freezeTime     = 500 * time.Millisecond
 	patience       = 200 * time.Millisecond  // half of the objective of the most urgent queue
 	cancelLimit    = 3400 * time.Millisecond // cancel_ms + stop-ms
 	cancelWatch    = 7 * time.Second         // contact-ms and more after the gateway goes on
@@ -50,10 +52,32 @@
 		})
 		time.Sleep(50 * time.Millisecond)
 	}
-	id := w.postAndLeave(gateway)
-	w.cancel(id, gateway+1)
-	acked := time.Now()
+	var ids []string
+	var leaving sync.WaitGroup
+	for range cancelJobs {
+		id := w.newID()
+		ids = append(ids, id)
+		leaving.Go(func() { w.postAndLeave(id, gateway) })
+	}
+	leaving.Wait()
+	acked := make(map[string]time.Time)
+	for _, id := range ids {
+		w.cancel(id, gateway+1)
+		acked[id] = time.Now()
+	}
 	time.Sleep(cancelWatch)
+	rule := false
+	for _, id := range ids {
+		if w.runsOn(id, acked[id]) {
+			rule = true
+			w.cancel(id, gateway+1) // so that the next trial begins without it
+		}
+	}
+	return rule
+}
+
+// runsOn reports whether a task of a job ran on after its cancelling was acknowledged.
+func (w *world) runsOn(id string, acked time.Time) bool {
 	w.note("consumer: job %s is %q, %d ms after its cancelling was acknowledged", id, w.state(id), time.Since(acked).Milliseconds())
 	rule := false
 	for _, r := range w.runsOf(id) {
@@ -69,9 +93,6 @@
 			rule = true
 		}
 	}
-	if rule {
-		w.cancel(id, gateway+1) // so that the next trial begins without it
-	}
 	return rule
 }
 
@@ -88,9 +109,7 @@
 }
 
 // postAndLeave hands a job in that lasts, waits for its answer for a short time and leaves.
-func (w *world) postAndLeave(gateway int) string {
-	w.lastJob++
-	id := fmt.Sprintf("%016x", w.lastJob)
+func (w *world) postAndLeave(id string, gateway int) {
 	body, _ := json.Marshal(map[string]any{
 		"spec": "{}", "phases": []any{step(1, 1000, 500*time.Millisecond, map[string]any{"long-running": true})},
 	})
@@ -106,5 +125,4 @@
 	n, _ := conn.Read(answer)
 	time.Sleep(patience / 4)
 	w.note("consumer: POST %s -> %q; it closes the channel", id, answer[:n])
-	return id
 }
--- a/review/standins-2/world.go
+++ b/review/standins-2/world.go
@@ -285,10 +285,15 @@
 	return fmt.Sprintf("%s.%d:%d", w.subnet, 11+i%w.gateways, frontendPort)
 }
 
+// newID returns the id of a new job.
+func (w *world) newID() string {
+	w.lastJob++
+	return fmt.Sprintf("%016x", w.lastJob)
+}
+
 // submit hands a job in until it is accepted, and returns its id.
 func (w *world) submit(spec string, steps ...map[string]any) string {
-	w.lastJob++
-	id := fmt.Sprintf("%016x", w.lastJob)
+	id := w.newID()
 	for i := 0; ; i++ {
 		status, _ := w.call(http.MethodPost, w.gateway(i), prefix+id, host, map[string]any{"spec": spec, "phases": steps})
 		w.note("consumer: POST %s -> %d", id, status)
