--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -210,12 +210,16 @@
 
 // order wraps what all orders share: the intended boot, the token and the lease.
 func (k *worker) order(serve func(http.ResponseWriter, *order)) http.HandlerFunc {
-	return func(rw http.ResponseWriter, r *http.Request) {
+	return func(plain http.ResponseWriter, r *http.Request) {
+		rw := &answered{ResponseWriter: plain}
+		var o order
+		defer func() {
+			k.w.note("%s: received %s task %q run %d deadline %d token %d cursor %d -> %d", k.id, r.URL.Path, o.Task, o.Run, o.Deadline, o.Token, o.Cursor, rw.status)
+		}()
 		if want := r.Header.Get("X-Masticroad-Expect-Instance"); want != "" && want != k.id {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		var o order
 		data, err := io.ReadAll(r.Body)
 		if err == nil {
 			err = json.Unmarshal(data, &o)
@@ -236,6 +240,18 @@
 	}
 }
 
+// answered keeps the status of an answer for the record.
+type answered struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader writes the status.
+func (a *answered) WriteHeader(status int) {
+	a.status = status
+	a.ResponseWriter.WriteHeader(status)
+}
+
 func (k *worker) answer(rw http.ResponseWriter, status int, fields map[string]any) {
 	fields["clock-ms"] = k.clock()
 	data, _ := json.Marshal(fields)
@@ -485,9 +501,10 @@
 		if k.state == "draining" {
 			body["drain-remaining-ms"] = max(time.Until(k.drainEnd), 0).Milliseconds()
 		}
-		address := k.control[k.next%len(k.control)]
+		address, state, seq := k.control[k.next%len(k.control)], k.state, k.seq
 		k.mu.Unlock()
 		status, data, err := k.post(address, "heartbeat", body)
+		k.w.note("%s: sent ping %d (%s) to %s -> %d", k.id, seq, state, address, status)
 		if err == nil && status/100 == 2 {
 			var reply struct {
 				Next string `json:"heartbeat-addr"`
