End a departing target's runs by proof, not by silence

Cause: hasDeparted took a poll that was not answered, a second after the departure call, for the end of the target, and the runs were given up without a wait for the lease. The call only announces the end. Its answer is what ends the target, and the cut that hid the target from polls kept the answer from it as well. isRemovable rested on the same belief.

Now the runs of a departing target are stopped, and the call is answered once their ends are listed, when the target answers no orders, or after 0.7 s. Its lease is not extended after the call. A run that is not listed ends with an answered stop and StopTime, or with the lease.

Failed before, run on the code of: TestRunsOfADepartedTargetBehindACutGoOnUntilItsLeaseIsOver, TestLeaseOfADepartingTargetIsNotExtended, TestRunsOfADepartingTargetAreStoppedBeforeItsCallIsAnswered, TestStoppedRunOfASilentDepartedTargetIsLostAfterTheTimeOfAStop, TestDepartedTargetWithAStrayIsKeptUntilItsLeaseIsOver.

Replaced: TestRunsOfADepartedTargetAreLostOnceItIsSilent asked for the fault: a lost run 1.2 s after the call of a target that had answered nothing. In its place stand the bound by the lease (at most 0.5 s after it) and the bound by a stop that was answered. TestRemovedTargetReturnsWithAHigherToken let its target fall silent with a run under a lease of 10 s; it lists the end first now and checks the same. In the simulator, draining targets announced a constant time that was left, so that most departures were ignored; it counts down now.

--- a/internal/load/simulator/faults.go
+++ b/internal/load/simulator/faults.go
@@ -29,6 +29,7 @@
 	SameID  bool          // a target that crashed comes back under its id
 	Foreign time.Duration // mean time between announcements of another program for the address of a target
 	Delay   time.Duration // most that departure calls are delayed; the next incarnation then has the same id
+	Deaf    float64       // share of leaving targets to which the way is cut before; if set, targets go on until their calls are answered
 	Until   time.Duration // none goes wrong later; 0: to the end of the load
 }
 
@@ -228,34 +229,90 @@
 	})
 }
 
+// deafen lets nothing arrive at a host for a time. What it sends still arrives.
+func (s *Simulation) deafen(h *host) {
+	s.faultAt = s.now
+	h.deaf = true
+	s.trace("nothing arrives at %s", h.target.Record.ID)
+	s.in(s.between(200*time.Millisecond, 8*time.Second), func() { h.deaf = false; s.faultAt = s.now })
+}
+
 // drain lets a target announce that it leaves, then replaces it.
 func (s *Simulation) drain(h *host) {
 	if h.target.Down() || h.draining || h.gone || h.cut {
 		return
 	}
 	s.faultAt = s.now
-	h.draining = true
+	h.draining, h.drainEnd = true, s.now.Add(drainTime)
 	t := h.target
 	h.sequence++
 	t.Record.Draining = true
-	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: 2500 * time.Millisecond}
-	acknowledged := func() { t.DrainAcked = s.now }
+	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: drainTime}
+	acknowledged := func() {
+		if !h.deaf {
+			t.DrainAcked = s.now
+		}
+	}
 	s.tell(func(p *planner.Planner, now planner.Moment) { p.Announce(a, acknowledged, now) })
-	s.in(s.between(2500*time.Millisecond, 9*time.Second), func() {
+	left := s.between(2500*time.Millisecond, 9*time.Second)
+	if s.Faults.Deaf > 0 && s.rand.Float64() < s.Faults.Deaf {
+		s.in(left-s.between(0, maxDeafBefore), func() { s.deafen(h) })
+	}
+	s.in(left, func() {
 		if h.target != t || t.Down() {
 			return
 		}
 		s.faultAt = s.now
+		if s.Faults.Deaf > 0 {
+			s.leave(h, t, s.now.Add(s.between(2*time.Second, 5*time.Second)))
+			return
+		}
 		s.depart(t)
-		s.in(s.between(0, 200*time.Millisecond), func() {
-			if h.target == t && !t.Down() {
-				t.Crash(s.now)
-				s.in(time.Second, func() { s.rebear(h, t, s.successor(t.Record.ID)) })
+		s.in(s.between(0, 200*time.Millisecond), func() { s.end(h, t) })
+	})
+}
+
+// end ends a target that leaves.
+func (s *Simulation) end(h *host, t *emulator.Target) {
+	if h.target != t || t.Down() {
+		return
+	}
+	s.faultAt = s.now
+	s.trace("%s ends", t.Record.ID)
+	t.Crash(s.now)
+	s.in(time.Second, func() { s.rebear(h, t, s.successor(t.Record.ID)) })
+}
+
+// leave lets a target call that it ends, again and again. It ends when a call is answered,
+// or without an answer after a time.
+func (s *Simulation) leave(h *host, t *emulator.Target, patience time.Time) {
+	if h.target != t || t.Down() {
+		return
+	}
+	if !s.now.Before(patience) {
+		s.end(h, t)
+		return
+	}
+	s.trace("%s says that it leaves", t.Record.ID)
+	d := planner.Departure{Target: t.Record.ID}
+	answered := func() {
+		s.in(s.between(minWay, maxWay), func() {
+			if !h.deaf && !h.cut && !s.lost() {
+				s.end(h, t)
 			}
 		})
-	})
+	}
+	if !h.cut {
+		s.in(s.between(minWay, maxWay), func() { s.tell(func(p *planner.Planner, now planner.Moment) { p.Depart(d, answered, now) }) })
+	}
+	s.in(departTimeout, func() { s.leave(h, t, patience) })
 }
 
+const (
+	departTimeout = time.Second // a target waits this long for the answer to a departure call
+	maxDeafBefore = time.Second // from the cut of the way to a target until it leaves
+)
+
 // depart lets a target call that it ends. A delayed call names the incarnation or not.
 func (s *Simulation) depart(t *emulator.Target) {
 	d := planner.Departure{Target: t.Record.ID}
@@ -284,7 +341,7 @@
 // heal ends all faults.
 func (s *Simulation) heal() {
 	for _, h := range s.targets {
-		h.cut, h.gone = false, false
+		h.cut, h.deaf, h.gone = false, false, false
 		if h.target.Down() {
 			s.bear(h, h.target.Record.ID+tracker.TargetID("~"))
 			continue
--- a/internal/load/simulator/hosts.go
+++ b/internal/load/simulator/hosts.go
@@ -21,8 +21,10 @@
 	number   int // its room and rack go by it and last for all its lives
 	sequence int64
 	cut      bool // no call reaches it, and no announcement comes
+	deaf     bool // no call or answer reaches it
 	draining bool
-	gone     bool // for good
+	drainEnd time.Time // of a draining target
+	gone     bool      // for good
 }
 
 const (
@@ -81,7 +83,7 @@
 	}
 	h.sequence++
 	t.Record.Draining = h.draining
-	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: 2500 * time.Millisecond}
+	a := &planner.Announcement{Target: t.Record, Clock: t.Clock(s.now), Sequence: h.sequence, DrainLeft: max(h.drainEnd.Sub(s.now), 0)}
 	delay := s.between(minWay, maxWay)
 	if s.late() {
 		delay = s.between(minLate, maxLate)
@@ -123,7 +125,7 @@
 	h := s.byAddress(to.Address)
 	way := s.between(minWay, maxWay)
 	s.in(way, func() {
-		if h == nil || h.cut || h.target.Down() || s.lost() {
+		if h == nil || h.cut || h.deaf || h.target.Down() || s.lost() {
 			missed(func() { s.miss(l, serve) })
 			return
 		}
@@ -220,7 +222,7 @@
 	miss := func() { s.in(o.Wait+o.Limit, func() { report(&planner.PollReport{}) }) }
 	s.in(s.between(minWay, maxWay), func() {
 		h := s.byAddress(o.To.Address)
-		if h == nil || h.cut || h.target.Down() || s.lost() {
+		if h == nil || h.cut || h.deaf || h.target.Down() || s.lost() {
 			miss()
 			return
 		}
--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -89,6 +89,27 @@
 	}
 }
 
+// newCutDepartureSchedule lets targets leave, half of them behind a cut of the way to
+// them. Half of the steps of batches are gangs, which run on while their targets drain.
+func newCutDepartureSchedule(seed int64) *simulator.Simulation {
+	s := newSchedule(seed, simulator.Faults{Lost: 0.01, Late: 0.01, Leader: 8 * time.Second, Drain: 700 * time.Millisecond, Deaf: 0.5})
+	s.Mix[1].Gang = 0.5
+	return s
+}
+
+// Targets leave behind cuts in one direction, which keep the answers to their calls from
+// them. Guards against a start elsewhere while such a target works on.
+func TestSchedulesOfDeparturesBehindCuts(t *testing.T) {
+	for seed := range seeds(30) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newCutDepartureSchedule(seed)
+			s.Run(length)
+			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
 var foreign = simulator.Faults{
 	Lost: 0.01, Late: 0.01, Leader: 4 * time.Second, Cut: 4 * time.Second, Crash: 4 * time.Second, SameID: true, Foreign: 300 * time.Millisecond,
 }
@@ -217,6 +238,7 @@
 		"epochs":       {disabled: planner.WithoutEpochs, faults: reborn},
 		"lease record": {disabled: planner.WithoutLeaseRecord, faults: cut},
 		"departures":   {disabled: planner.WithoutDepartureCheck, faults: delayedDepartures},
+		"end":          {disabled: planner.WithoutDepartureProof, schedule: newCutDepartureSchedule},
 		"address":      {disabled: planner.WithoutAddressProof, faults: foreign},
 		"whole lists":  {disabled: planner.WithoutWholeLists, schedule: newPartialSchedule},
 	} {
@@ -251,7 +273,7 @@
 }
 
 // TestTrace prints what one schedule decides and orders, for tracing a failure. The
-// faults are outages, departures, foreign, partial, relapses, losses or
+// faults are outages, departures, cut-departures, foreign, partial, relapses, losses or
 // overload, Rough otherwise:
 //
 //	MASTICROAD_TRACE=358 MASTICROAD_FAULTS=outages go test -run TestTrace -v ./internal/load/simulator
@@ -266,6 +288,8 @@
 		s = newSchedule(seed, outages)
 	case "departures":
 		s = newSchedule(seed, delayedDepartures)
+	case "cut-departures":
+		s = newCutDepartureSchedule(seed)
 	case "foreign":
 		s = newSchedule(seed, foreign)
 	case "partial":
--- a/internal/workflow/planner/availability.go
+++ b/internal/workflow/planner/availability.go
@@ -15,7 +15,7 @@
 // Runs on a draining or departed target may always be stopped, as they end anyway.
 func (p *Planner) mayDisrupt(r *run) bool {
 	bound := r.def.MaxUnavailable
-	if bound == 0 || !r.def.LongRunning || r.stopping || r.job.rec.State.Ended() || r.target.rec.Draining || !r.target.departedAt.IsZero() {
+	if bound == 0 || !r.def.LongRunning || r.stopping || r.job.rec.State.Ended() || r.target.rec.Draining || r.target.departure != nil {
 		return true
 	}
 	return p.othersUnavailable(r) < bound
--- a/internal/workflow/planner/departure_test.go
+++ b/internal/workflow/planner/departure_test.go
@@ -64,7 +64,7 @@
 }
 
 // A delayed departure call that names no incarnation arrives while the target drains
-// again. It still answers polls, so that its runs go on.
+// again. It still answers polls, so that the runs that it lists are not lost.
 func TestRunsOfADepartedTargetThatAnswersGoOn(t *testing.T) {
 	c := quicktest.New(t)
 	s := newHarness(c, 2)
@@ -80,30 +80,178 @@
 	c.Assert(s.p.State.Targets[rec.ID], quicktest.IsNotNil)
 }
 
-// A target ends as it has announced. Its tasks start elsewhere before its lease expires.
-func TestRunsOfADepartedTargetAreLostOnceItIsSilent(t *testing.T) {
-	for name, incarnation := range map[string]tracker.Incarnation{"named": 1, "draining": 0} {
+// departing is a target with a run that has announced its end.
+type departing struct {
+	*harness
+	start    *planner.StartOrder
+	leaseEnd time.Time // true time by which its lease is over
+	answered bool      // its departure call
+}
+
+// newDeparture returns a target that announces its end while it has a run. The call names
+// its incarnation, or the target has drained.
+func newDeparture(c *quicktest.C, incarnation tracker.Incarnation) *departing {
+	s := &departing{harness: newHarness(c, 2)}
+	s.start = s.submit(7, minuteTask)[0]
+	s.acceptStart(s.start)
+	s.answerPolls(s.running())
+	if incarnation == 0 {
+		rec := s.record(int(s.start.To.Target[1] - '0'))
+		rec.Draining = true
+		s.announce(rec)
+	}
+	s.advance(50 * time.Millisecond)
+	s.answerPolls(s.running())
+	deadline := s.start.Deadline
+	for _, a := range s.orders {
+		if a.Poll != nil && a.Poll.To.Target == s.start.To.Target {
+			deadline = max(deadline, a.Poll.Deadline)
+		}
+	}
+	s.leaseEnd = s.lapse(s.start.To.Target, deadline)
+	s.p.Depart(planner.Departure{Target: s.start.To.Target, Incarnation: incarnation}, func() { s.answered = true }, s.now)
+	s.plan()
+	return s
+}
+
+func (s *departing) running() row {
+	return row{target: s.start.To.Target, task: s.start.Task, number: 1, percent: 20}
+}
+
+// answerStop reports that the target has confirmed the order to stop its run.
+func (s *departing) answerStop() {
+	stops := s.stops()
+	s.c.Assert(stops, quicktest.HasLen, 1)
+	s.p.OrderReported(&planner.OrderReport{Target: stops[0].To.Target, Incarnation: stops[0].To.Incarnation, Token: stops[0].To.Token, Task: stops[0].Task,
+		Number: stops[0].Number, Stop: true, Answered: true, Sent: s.now.Monotonic, Received: s.now.Monotonic, Clock: s.clock(stops[0].To.Target)}, s.now)
+	s.plan()
+}
+
+// timeToNextStart leaves the polls of the target without an answer until its task starts
+// elsewhere, and returns when that was.
+func (s *departing) timeToNextStart() time.Time {
+	for range 400 {
+		s.failPollsFor(s.start.To.Target, 50*time.Millisecond)
+		for _, o := range s.starts() {
+			s.c.Assert(o.To.Target, quicktest.Not(quicktest.Equals), s.start.To.Target)
+			return s.now.Monotonic
+		}
+	}
+	s.c.Fatal("the task was not started again")
+	return time.Time{}
+}
+
+var departures = map[string]tracker.Incarnation{"named": 1, "draining": 0}
+
+// A target announces its end behind a cut in one direction, which keeps the answer, orders
+// and polls from it. Guards against a start elsewhere while its run goes on.
+func TestRunsOfADepartedTargetBehindACutGoOnUntilItsLeaseIsOver(t *testing.T) {
+	for name, incarnation := range departures {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			s := newHarness(c, 2)
-			start := s.submit(7, minuteTask)[0]
-			s.acceptStart(start)
-			s.answerPolls(row{target: start.To.Target, task: start.Task, number: 1, percent: 20})
-			if incarnation == 0 {
-				rec := s.record(int(start.To.Target[1] - '0'))
-				rec.Draining = true
-				s.announce(rec)
-			}
-			s.p.Depart(planner.Departure{Target: start.To.Target, Incarnation: incarnation}, func() {}, s.now)
-			s.failPollsFor(start.To.Target, 1200*time.Millisecond)
+			s := newDeparture(c, incarnation)
+			again := s.timeToNextStart()
+			c.Assert(again.After(s.leaseEnd), quicktest.IsTrue, quicktest.Commentf("%s before its lease was over", s.leaseEnd.Sub(again)))
+			c.Assert(again.Sub(s.leaseEnd) < 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s after its lease was over", again.Sub(s.leaseEnd)))
 			c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndTargetLost})
+			c.Assert(s.answered, quicktest.IsTrue)
+		})
+	}
+}
+
+// The lease of a departing target is not extended: it may be hidden before its runs are
+// known to have ended.
+func TestLeaseOfADepartingTargetIsNotExtended(t *testing.T) {
+	c := quicktest.New(t)
+	s := newDeparture(c, 1)
+	s.answerPolls(s.running()) // ordered before the call
+	polls := 0
+	for range 20 {
+		for _, o := range s.polls() {
+			if o.To.Target == s.start.To.Target {
+				polls++
+				c.Assert(o.Deadline, quicktest.Equals, planner.ClockMillis(0))
+			}
+			s.answerPoll(o, s.running())
+		}
+		s.advance(50 * time.Millisecond)
+	}
+	c.Assert(polls > 1, quicktest.IsTrue)
+}
+
+// The runs of a departing target are stopped before its call is answered, which ends it.
+// Their tasks start elsewhere once the target lists the ends, without a wait for silence.
+func TestRunsOfADepartingTargetAreStoppedBeforeItsCallIsAnswered(t *testing.T) {
+	for name, incarnation := range departures {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newDeparture(c, incarnation)
+			s.answerStop()
+			s.answerPollsFor(bounds.StopTime, s.running())
+			c.Assert(s.answered, quicktest.IsFalse)
+			s.answerPollsFor(100*time.Millisecond, row{target: s.start.To.Target, task: s.start.Task, number: 1, how: tracker.EndStopped})
+			c.Assert(s.answered, quicktest.IsTrue)
 			again := s.starts()
 			c.Assert(again, quicktest.HasLen, 1)
-			c.Assert(again[0].To.Target, quicktest.Not(quicktest.Equals), start.To.Target)
+			c.Assert(again[0].To.Target, quicktest.Not(quicktest.Equals), s.start.To.Target)
+			s.failPollsFor(s.start.To.Target, 4*time.Second)
+			c.Assert(s.p.State.Targets[s.start.To.Target], quicktest.IsNil)
 		})
 	}
 }
 
+// A target that has confirmed the stop of its run falls silent. The stop takes StopTime at
+// most, so that the task starts elsewhere after that and before the lease is over.
+func TestStoppedRunOfASilentDepartedTargetIsLostAfterTheTimeOfAStop(t *testing.T) {
+	for name, incarnation := range departures {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newDeparture(c, incarnation)
+			s.answerStop()
+			stopped := s.now.Monotonic
+			took := s.timeToNextStart().Sub(stopped)
+			c.Assert(took > bounds.StopTime && took < time.Second, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+		})
+	}
+}
+
+// The call is answered in time although the target confirms no stop, and every call that
+// repeats it as well.
+func TestDepartureCallIsAnsweredWithoutEnds(t *testing.T) {
+	c := quicktest.New(t)
+	s := newDeparture(c, 1)
+	repeated := false
+	s.p.Depart(planner.Departure{Target: s.start.To.Target, Incarnation: 1}, func() { repeated = true }, s.now)
+	s.answerPollsFor(800*time.Millisecond, s.running())
+	c.Assert(s.answered && repeated, quicktest.IsTrue)
+	late := false
+	s.p.Depart(planner.Departure{Target: s.start.To.Target, Incarnation: 1}, func() { late = true }, s.now)
+	s.plan()
+	c.Assert(late, quicktest.IsTrue)
+}
+
+// A departed target works on a run that the replicated state does not have. It is not
+// removed before its lease is over, since it would come back as an empty one.
+func TestDepartedTargetWithAStrayIsKeptUntilItsLeaseIsOver(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	s.advance(50 * time.Millisecond)
+	s.answerPolls(row{target: "t1", task: definer.TaskID{Job: 77}, number: 3, percent: 10})
+	var deadline planner.ClockMillis
+	for _, a := range s.orders {
+		if a.Poll != nil {
+			deadline = a.Poll.Deadline
+		}
+	}
+	c.Assert(deadline > 0, quicktest.IsTrue)
+	s.p.Depart(planner.Departure{Target: "t1", Incarnation: 1}, func() {}, s.now)
+	leaseEnd := s.lapse("t1", deadline)
+	for s.p.State.Targets["t1"] != nil {
+		s.failPollsFor("t1", 50*time.Millisecond)
+	}
+	c.Assert(s.now.Monotonic.After(leaseEnd), quicktest.IsTrue, quicktest.Commentf("%s before its lease was over", leaseEnd.Sub(s.now.Monotonic)))
+}
+
 // A target that was removed announces itself again. It has seen the token of its
 // earlier record, so that calls with a lower one would be refused as long as this
 // leader leads; orders of before the removal must be refused.
@@ -111,8 +259,11 @@
 	c := quicktest.New(t)
 	s := newHarness(c, 1)
 	s.restart(1, 2)
-	seen := s.submit(7, minuteTask)[0].To.Token
+	first := s.submit(7, minuteTask)[0]
+	seen := first.To.Token
+	s.acceptStart(first)
 	s.p.Depart(planner.Departure{Target: "t1", Incarnation: 2}, func() {}, s.now)
+	s.answerPollsFor(100*time.Millisecond, row{target: "t1", task: first.Task, number: 1, how: tracker.EndStopped})
 	s.failPollsFor("t1", 4*time.Second)
 	c.Assert(s.p.State.Targets["t1"], quicktest.IsNil)
 	rec := s.record(1)
--- a/internal/workflow/planner/identity.go
+++ b/internal/workflow/planner/identity.go
@@ -262,6 +262,7 @@
 // first poll settles that. Other runs are lost with the earlier incarnation.
 func (p *Planner) handleRestart(t *target, incarnation tracker.Incarnation, proved bool, now Moment) {
 	p.log("target restarted", "target", t.rec.ID, "life", int64(incarnation), "before", int64(t.rec.Incarnation), "runs", len(t.runs), "proved", proved)
+	p.answerDeparture(t, now)
 	p.releaseOrphans(t)
 	p.forgetTickets(t.rec.ID)
 	epoch := min(t.epoch+1, maxEpoch)
--- a/internal/workflow/planner/leases.go
+++ b/internal/workflow/planner/leases.go
@@ -17,8 +17,12 @@
 // tasks crashes during an election, its tasks start elsewhere 3 s after the new
 // leader has started.
 
-// leaseFor returns the length of the lease to grant to a target.
+// leaseFor returns the length of the lease to grant to a target. The runs of one that
+// drains may end with it unseen, after which their tasks wait for the end of the lease.
 func (p *Planner) leaseFor(t *target) time.Duration {
+	if t.rec.Draining {
+		return min(p.Limits.DrainLease, p.Limits.ShortLease)
+	}
 	if t.rec.LongLease || t.rec.AnyLease {
 		return p.longLease()
 	}
--- a/internal/workflow/planner/limits.go
+++ b/internal/workflow/planner/limits.go
@@ -20,6 +20,7 @@
 	LateOrderWindow time.Duration // an unanswered order may still be carried out this much later
 	ShortLease      time.Duration // for the runs on a target, renewed by polls
 	LongLease       time.Duration // the same for a target with long-running tasks
+	DrainLease      time.Duration // the same for a target that drains, if shorter than ShortLease
 	InitialLease    time.Duration // granted with an order to start, unless the target's lease is longer
 	// PreemptAfter is how long a step waits for capacity before runs of lower
 	// priority are stopped for it; negative: never.
@@ -35,6 +36,7 @@
 	setDefault(&l.IdlePollWait, 700*time.Millisecond)   // the same
 	setDefault(&l.ShortLease, 3*time.Second)            // twice the time of an election; tasks of a lost target can't start elsewhere earlier
 	setDefault(&l.LongLease, 6500*time.Millisecond)     // a power failure of all replicas for 5 s and an election
+	setDefault(&l.DrainLease, 2*time.Second)            // an election and the first polls of the next leader
 	setDefault(&l.InitialLease, 2500*time.Millisecond)  // a second longer than an election
 	setDefault(&l.LossyPollWait, 150*time.Millisecond)  // an end is detected within half a second although a poll is lost
 	setDefault(&l.OrderTimeout, 200*time.Millisecond)   // ten round trips between regions; orders may be repeated
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -56,6 +56,7 @@
 	WithoutDepartureCheck                       // a departure ends whichever incarnation is present
 	WithoutWholeLists                           // a run that a part of a list leaves out is lost
 	WithoutAddressProof                         // an announcement replaces the target at its address
+	WithoutDepartureProof                       // a departure and a silent poll prove the end of a target
 )
 
 func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -18,9 +18,10 @@
 	if !t.tokenConfirmed || t.consecutiveMisses > 0 {
 		order.Wait = 0
 	}
-	if t.consecutiveMisses == 0 {
+	if t.consecutiveMisses == 0 && t.departure == nil {
 		order.Deadline = p.extendLease(t, p.leaseFor(t), now)
-	} else {
+	}
+	if t.consecutiveMisses > 0 {
 		// The target may have restarted; a new incarnation numbers its ends anew.
 		order.Cursor = 0
 	}
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -43,12 +43,12 @@
 	unsentPolls          int       // polls in a row that could not be sent
 	incompleteLoggedAt   time.Time
 	endCursor            int64
-	lastContact          time.Time // of the newest announcement or answer
-	announcementSequence int64     // of the newest announcement
-	addedAt              time.Time // to this leader's view
-	drainEnd             time.Time // a draining target may end from then on
-	departedAt           time.Time // when it announced its end; zero: it did not
-	pausedUntil          time.Time // no new work until then, as it refused a start
+	lastContact          time.Time  // of the newest announcement or answer
+	announcementSequence int64      // of the newest announcement
+	addedAt              time.Time  // to this leader's view
+	drainEnd             time.Time  // a draining target may end from then on
+	departure            *departure // nil: it has not announced its end
+	pausedUntil          time.Time  // no new work until then, as it refused a start
 	health               health
 	ignoreDrain          bool // WithoutDrainCheck is set
 	cordoned             bool // its VM is about to be taken down
@@ -121,6 +121,7 @@
 	p.returnSlot(t)
 	delete(p.targets, t.rec.ID)
 	p.leaveAddress(t)
+	p.answerDeparture(t, now)
 	p.emit(tracker.Event{TargetGone: &tracker.TargetGone{Target: t.rec.ID}}, now)
 }
 
@@ -184,7 +185,7 @@
 // schedulable reports whether a target may be given new work.
 func (t *target) schedulable(now Moment) bool {
 	draining := t.rec.Draining && !t.ignoreDrain
-	return t.tokenConfirmed && t.responsive && t.hasClock && !draining && !t.rec.Unannounced && !t.cordoned && t.departedAt.IsZero() && !now.Monotonic.Before(t.pausedUntil)
+	return t.tokenConfirmed && t.responsive && t.hasClock && !draining && !t.rec.Unannounced && !t.cordoned && t.departure == nil && !now.Monotonic.Before(t.pausedUntil)
 }
 
 // checkTargets polls the targets that are due, repeats orders, ends the runs of
@@ -199,9 +200,7 @@
 		p.loseFormerRuns(t, now)
 		p.clearAnyLease(t, now)
 		p.drainTarget(t, now)
-		if p.hasDeparted(t, departureTime, now) {
-			p.loseRuns(t, "target departed", now)
-		}
+		p.checkDeparture(t, now)
 		p.loseLapsedRuns(t, now)
 		if len(t.runs) == 0 && p.isRemovable(t, now) {
 			p.log("target removed", "target", id)
@@ -242,7 +241,7 @@
 const maxSilenceProof = 2 * time.Second
 
 func (p *Planner) isRemovable(t *target, now Moment) bool {
-	if p.hasDeparted(t, 2*departureTime, now) {
+	if t.isGone(now) {
 		return true
 	}
 	return now.Monotonic.Sub(t.lastContact) > p.Limits.RemoveAfter && now.Monotonic.After(t.leaseEnd)
