Count a failed run of a gang once, not once for each member

Cause: Step.Failures was raised with each end "failed" of a member. As many members on a bad target as there are attempts used all of them up in one run.

What was written before keeps its meaning: the leader puts the new rule into force with an entry (FormatRaised), earlier entries are applied by the old rule, and at that entry each replica turns its counts into numbers of runs.

Related: one run of a gang on four targets put the blame on its job, so that targets went unsuspected (counted by run now); run times of a gang were learned once for each member (read only, no test).

--- a/internal/load/emulator/audit.go
+++ b/internal/load/emulator/audit.go
@@ -105,6 +105,39 @@
 	}
 }
 
+// Failed checks that a job that is shown as failed has a task or a gang of which as many
+// runs have failed as its queue allows.
+func (a *Audit) Failed(id definer.JobID, now time.Time) {
+	j, most := a.jobs[id], 0
+	for k := range j.def.Occurrences() {
+		for i := range j.def.Steps {
+			most = max(most, a.failedRuns(definer.StepID{Job: id, Occurrence: k, Step: i}, &j.def.Steps[i]))
+		}
+	}
+	if most < j.maxAttempts {
+		a.problem(now, "job %s is shown as failed after %d failed attempts of %d", id, most, j.maxAttempts)
+	}
+}
+
+// failedRuns returns the most failed runs of a task of a step, or those of a gang.
+func (a *Audit) failedRuns(id definer.StepID, step *definer.Step) int {
+	most, ofGang := 0, make(map[tracker.RunNumber]bool)
+	for i := range step.Count {
+		t := a.tasks[id.Task(i)]
+		if t == nil {
+			continue
+		}
+		most = max(most, len(t.failed))
+		for _, f := range t.failed {
+			ofGang[f.key.Number] = true
+		}
+	}
+	if step.Gang {
+		return len(ofGang)
+	}
+	return most
+}
+
 func (a *Audit) problem(now time.Time, format string, args ...any) {
 	a.Problems = append(a.Problems, fmt.Sprintf("%s: ", now.Sub(a.Begun).Round(time.Millisecond))+fmt.Sprintf(format, args...))
 }
--- a/internal/load/emulator/world.go
+++ b/internal/load/emulator/world.go
@@ -18,6 +18,9 @@
 	// Work tells what a run of a task does.
 	Work  func(task definer.TaskID, number tracker.RunNumber) Work
 	Audit *Audit // nil: nothing is checked
+	// FailTogether lets all members of a gang fail with one of them. Otherwise the others
+	// end as broken.
+	FailTogether bool
 
 	gangs map[gangKey][]*Run
 }
@@ -70,8 +73,8 @@
 		return
 	}
 	other := tracker.EndGangBroken
-	if how == tracker.EndDone {
-		other = tracker.EndDone
+	if how == tracker.EndDone || how == tracker.EndFailed && w.FailTogether {
+		other = how
 	}
 	for _, x := range members {
 		if x != r && x.target.runs[x.Key] == x {
--- a/internal/load/simulator/callers.go
+++ b/internal/load/simulator/callers.go
@@ -305,6 +305,7 @@
 		s.audit.Completed(c.id, s.now)
 		s.settle(c, !c.poison)
 	case tracker.Failed:
+		s.audit.Failed(c.id, s.now)
 		s.settle(c, c.poison)
 	case tracker.Cancelled:
 		c.over = rec.Def == nil // none of its runs is left
--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// newGangSchedule lets all members of a gang fail with one of them, on targets that fail all
+// that they start for a time. Most steps of batches are gangs.
+func newGangSchedule(seed int64) *simulator.Simulation {
+	s := newSchedule(seed, simulator.Faults{Lost: 0.01, Leader: 3 * time.Second, Slow: 1500 * time.Millisecond})
+	s.FailTogether, s.Mix[1].Gang = true, 0.8
+	return s
+}
+
+// Guards against gangs that are given up after fewer runs than their queue allows, as
+// several members have failed in one.
+func TestSchedulesOfGangsThatFailTogether(t *testing.T) {
+	for seed := range seeds(30) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newGangSchedule(seed)
+			s.Run(length)
+			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
 // newLossSchedule plays losses of targets and leaders. Crashed targets come back after
 // up to 8 s, or not at all.
 func newLossSchedule(seed int64) *simulator.Simulation {
@@ -240,6 +261,7 @@
 		"departures":   {disabled: planner.WithoutDepartureCheck, faults: delayedDepartures},
 		"end":          {disabled: planner.WithoutDepartureProof, schedule: newCutDepartureSchedule},
 		"address":      {disabled: planner.WithoutAddressProof, faults: foreign},
+		"gang runs":    {disabled: planner.WithoutGangRuns, schedule: newGangSchedule},
 		"whole lists":  {disabled: planner.WithoutWholeLists, schedule: newPartialSchedule},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -273,7 +295,7 @@
 }
 
 // TestTrace prints what one schedule decides and orders, for tracing a failure. The
-// faults are outages, departures, cut-departures, foreign, partial, relapses, losses or
+// faults are outages, departures, cut-departures, foreign, partial, gangs, relapses, losses or
 // overload, Rough otherwise:
 //
 //	MASTICROAD_TRACE=358 MASTICROAD_FAULTS=outages go test -run TestTrace -v ./internal/load/simulator
@@ -294,6 +316,8 @@
 		s = newSchedule(seed, foreign)
 	case "partial":
 		s = newPartialSchedule(seed)
+	case "gangs":
+		s = newGangSchedule(seed)
 	case "relapses":
 		s, played = newLossSchedule(seed), lossLength
 		s.Faults = relapses
--- a/internal/workflow/planner/health.go
+++ b/internal/workflow/planner/health.go
@@ -22,7 +22,7 @@
 }
 
 const (
-	jobAtFaultTargets   = 4                      // failures on this many targets are attributed to the job
+	jobAtFault          = 4                      // so many failures on different targets, or of gangs, are attributed to the job
 	quarantineFailures  = 2                      // failed runs in a row; a run fails by its own fault in 1 of 20 cases, two in a row in 1 of 400
 	minQuarantine       = 500 * time.Millisecond // about the run time of an urgent task
 	maxQuarantine       = 8 * time.Second        // faults of targets were observed to last 4 to 7 s
@@ -50,13 +50,13 @@
 	h.quarantinedUntil = time.Time{}
 }
 
-// recordFailure counts a failed end against the target, unless the job has failed
-// on so many targets that the job itself is the likely cause.
+// recordFailure counts a failed end against the target, unless the job has failed so often
+// elsewhere that the job itself is the likely cause.
 func (p *Planner) recordFailure(r *run, now Moment) {
 	h := &r.target.health
 	j := r.job
-	j.failedOn(r.target, now)
-	if len(j.failures) >= jobAtFaultTargets || h.lastFailedJob == j.id {
+	j.recordFault(r, now)
+	if len(j.faults) >= jobAtFault || h.lastFailedJob == j.id {
 		return
 	}
 	h.lastFailedJob = j.id
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -23,6 +23,7 @@
 	runs          map[runKey]*run
 	completed     []stepTiming          // timings of completed steps
 	failures      map[*target]time.Time // when its runs last failed on each target
+	faults        map[fault]bool        // its failures
 	// estimates holds the declared run times, since the declaration of a job is
 	// dropped when it ends.
 	estimates []time.Duration
@@ -38,12 +39,25 @@
 	reruns int
 }
 
-// failedOn records that a run of the job has failed on a target.
-func (j *job) failedOn(t *target, now Moment) {
+// fault identifies what counts as one failure of a job: those of its runs on one target, or
+// one run of a gang, whose members may fail on many targets from one cause.
+type fault struct {
+	target *target
+	gang   definer.StepID
+	number tracker.RunNumber // 0: not of a gang
+}
+
+// recordFault records that a run of the job has failed.
+func (j *job) recordFault(r *run, now Moment) {
 	if j.failures == nil {
-		j.failures = make(map[*target]time.Time)
+		j.failures, j.faults = make(map[*target]time.Time), make(map[fault]bool)
+	}
+	j.failures[r.target] = now.Monotonic
+	if r.def.Gang {
+		j.faults[fault{gang: r.key.task.StepID(), number: r.key.number}] = true
+		return
 	}
-	j.failures[t] = now.Monotonic
+	j.faults[fault{target: r.target}] = true
 }
 
 // avoids reports whether a step should use other targets of its pool, as a run of
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -57,6 +57,7 @@
 	WithoutWholeLists                           // a run that a part of a list leaves out is lost
 	WithoutAddressProof                         // an announcement replaces the target at its address
 	WithoutDepartureProof                       // a departure and a silent poll prove the end of a target
+	WithoutGangRuns                             // a run of a gang counts as failed for each member that fails
 )
 
 func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
@@ -206,6 +207,9 @@
 	p.round = Round{}
 	p.Counters = Counters{}
 	p.Limits.fill()
+	if p.State.Format < tracker.CurrentFormat && !p.without(WithoutGangRuns) {
+		p.emit(tracker.Event{FormatRaised: &tracker.FormatRaised{Format: tracker.CurrentFormat}}, now)
+	}
 	for _, t := range p.State.Targets {
 		p.addTarget(t, now)
 	}
--- a/internal/workflow/planner/progress.go
+++ b/internal/workflow/planner/progress.go
@@ -61,11 +61,15 @@
 }
 
 // recordRunTime records the run time of a completed task. Runs that were resumed
-// from a checkpoint did only a part of the work and are ignored.
+// from a checkpoint did only a part of the work and are ignored, as are the members of a
+// gang that is done already, which have run for the same time.
 func (p *Planner) recordRunTime(r *run, now Moment) {
 	if r.startedAt.IsZero() || r.resumed {
 		return
 	}
+	if _, task := p.State.LookupTask(r.key.task); r.def.Gang && task != nil && task.Done {
+		return
+	}
 	elapsed := now.Monotonic.Sub(r.startedAt)
 	p.estimateBiasOf(r.job.rec.Queue.Name).observe(r.def.Estimate, elapsed)
 	if s := p.steps[r.key.task.StepID()]; s != nil && len(s.elapsed) < maxRunTimes {
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -66,6 +66,8 @@
 		if ev.LeaseRaised.Long > 0 {
 			s.LongLease = ev.LeaseRaised.Long
 		}
+	case ev.FormatRaised != nil:
+		s.raiseFormat(ev.FormatRaised.Format)
 	}
 }
 
@@ -182,7 +184,7 @@
 	case e.How == EndDone && !def.LongRunning:
 		j.completeTask(o, step, def, task)
 	case e.How == EndFailed && !def.LongRunning:
-		j.recordFailure(step, def, task)
+		s.recordFailure(step, def, task, e.Number)
 	}
 	if !j.State.Ended() {
 		s.updateJobState(j, at)
@@ -224,11 +226,62 @@
 	}
 }
 
-func (j *Job) recordFailure(step *Step, def *definer.Step, task *Task) {
+// recordFailure counts a failed run of a task. Members of a gang that fail in the same
+// run are one failed run of the gang, and none counts once a member has succeeded.
+func (s *State) recordFailure(step *Step, def *definer.Step, task *Task, number RunNumber) {
 	task.Failures++
-	if def.Gang {
+	switch {
+	case !def.Gang:
+	case s.Format < FormatGangRuns:
+		step.Failures++
+	case number > step.FailedRun && step.TasksLeft > 0:
 		step.Failures++
+		step.FailedRun = number
+	}
+}
+
+// raiseFormat puts a format into force.
+func (s *State) raiseFormat(f Format) {
+	if f <= s.Format {
+		return
+	}
+	if s.Format < FormatGangRuns {
+		for _, j := range s.Jobs {
+			if j.Def != nil && !j.State.Ended() {
+				j.countGangRuns()
+			}
+		}
+	}
+	s.Format = f
+}
+
+// countGangRuns turns the numbers of failed ends of gangs into numbers of failed runs. Ends
+// that were counted together can't be told apart, so that a gang keeps the number of its
+// ends up to the number of runs that it has had.
+func (j *Job) countGangRuns() {
+	for _, o := range j.Occurrences {
+		for i := range o.Steps {
+			if st := &o.Steps[i]; j.Def.Steps[i].Gang {
+				st.FailedRun = st.latestBrokenRun()
+				st.Failures = min(st.Failures, int(st.FailedRun))
+			}
+		}
+	}
+}
+
+// latestBrokenRun returns the latest run of a gang that has lost a member.
+func (st *Step) latestBrokenRun() RunNumber {
+	latest, whole := RunNumber(0), true
+	for i := range st.Tasks {
+		latest = max(latest, st.Tasks[i].LastRun)
+	}
+	for i := range st.Tasks {
+		whole = whole && st.Tasks[i].LookupRun(latest) != nil
+	}
+	if whole && latest > 0 {
+		return latest - 1
 	}
+	return latest
 }
 
 // updateJobState ends a job that has completed, or of which a task or gang has
@@ -243,17 +296,17 @@
 		return
 	}
 	for _, o := range j.Occurrences {
-		if o.StepsLeft > 0 && o.attemptsExhausted(limit) {
+		if o.StepsLeft > 0 && o.attemptsExhausted(limit, s.Format) {
 			s.endJob(j, Failed, at)
 			return
 		}
 	}
 }
 
-func (o *Occurrence) attemptsExhausted(limit int) bool {
+func (o *Occurrence) attemptsExhausted(limit int, f Format) bool {
 	for i := range o.Steps {
 		st := &o.Steps[i]
-		if st.Failures >= limit {
+		if st.Failures >= limit && (st.TasksLeft > 0 || f < FormatGangRuns) {
 			return true
 		}
 		for k := range st.Tasks {
@@ -289,7 +342,7 @@
 // shared, and the labels of targets, which are replaced and never modified.
 func (s *State) Clone() *State {
 	c := New()
-	c.Applied, c.Clock, c.Document, c.ShortLease, c.LongLease = s.Applied, s.Clock, s.Document, s.ShortLease, s.LongLease
+	c.Applied, c.Clock, c.Document, c.ShortLease, c.LongLease, c.Format = s.Applied, s.Clock, s.Document, s.ShortLease, s.LongLease, s.Format
 	for id, j := range s.Jobs {
 		c.Jobs[id] = j.clone()
 	}
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -36,6 +36,7 @@
 	VMTaken         *VMTaken         `cbor:"12,keyasint,omitempty"`
 	VMBack          *VMBack          `cbor:"13,keyasint,omitempty"`
 	LeaseRaised     *LeaseRaised     `cbor:"14,keyasint,omitempty"`
+	FormatRaised    *FormatRaised    `cbor:"15,keyasint,omitempty"`
 }
 
 // DocumentPut activates a configuration document.
@@ -129,6 +130,26 @@
 	Long  time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
+// Format numbers the rules by which entries are applied. Entries are applied by the format
+// that was in force when they were written, so that a state that was shown to callers
+// stays as it was when an old log or snapshot is read.
+type Format int
+
+const (
+	// FormatGangRuns counts the failed runs of a gang instead of the failed ends of its
+	// members.
+	FormatGangRuns Format = iota + 1
+
+	// CurrentFormat is the format of the entries that leaders write.
+	CurrentFormat = FormatGangRuns
+)
+
+// FormatRaised puts a format into force for the entries that follow. A lower one than the
+// present is ignored.
+type FormatRaised struct {
+	Format Format `cbor:"1,keyasint"`
+}
+
 // Encode returns the CBOR encoding of e.
 func (e *Entry) Encode() ([]byte, error) { return cbor.Marshal(e) }
 
@@ -179,6 +200,8 @@
 		return "TargetGone " + string(ev.TargetGone.Target)
 	case ev.LeaseRaised != nil:
 		return "LeaseRaised " + ev.LeaseRaised.Short.String() + " " + ev.LeaseRaised.Long.String()
+	case ev.FormatRaised != nil:
+		return fmt.Sprintf("FormatRaised %d", ev.FormatRaised.Format)
 	}
 	return "Event"
 }
--- a/internal/workflow/tracker/snapshot.go
+++ b/internal/workflow/tracker/snapshot.go
@@ -25,6 +25,7 @@
 	EndedJobs []definer.JobID   `cbor:"7,keyasint"`
 	Short     time.Duration     `cbor:"8,keyasint,omitempty"` // State.ShortLease
 	Long      time.Duration     `cbor:"9,keyasint,omitempty"` // State.LongLease
+	Format    Format            `cbor:"10,keyasint,omitempty"`
 }
 
 var encMode = mustEncMode()
@@ -39,7 +40,7 @@
 
 // Encode returns a snapshot of s.
 func (s *State) Encode() ([]byte, error) {
-	snap := snapshot{Applied: s.Applied, Clock: s.Clock, Document: s.Document, Short: s.ShortLease, Long: s.LongLease}
+	snap := snapshot{Applied: s.Applied, Clock: s.Clock, Document: s.Document, Short: s.ShortLease, Long: s.LongLease, Format: s.Format}
 	for _, j := range s.Jobs {
 		snap.Jobs = append(snap.Jobs, j)
 	}
@@ -67,6 +68,7 @@
 	}
 	fresh := New()
 	fresh.Applied, fresh.Clock, fresh.Document, fresh.ShortLease, fresh.LongLease = snap.Applied, snap.Clock, snap.Document, snap.Short, snap.Long
+	fresh.Format = snap.Format
 	for _, j := range snap.Jobs {
 		if j.Def != nil && j.Occurrences == nil {
 			j.Occurrences = make(map[int]*Occurrence)
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -39,6 +39,8 @@
 	// LongLease is the longest lease of a target with Target.LongLease that may not
 	// have expired at the start of a new leader; 0 if not known.
 	LongLease time.Duration
+	// Format numbers the rules by which entries are applied; see FormatRaised.
+	Format Format
 
 	endedJobs []endedJob // in the order in which they ended
 }
@@ -105,9 +107,13 @@
 
 // Step is the state of one step of an occurrence.
 type Step struct {
-	TasksLeft int    `cbor:"1,keyasint"`           // number of tasks that are not done
-	Failures  int    `cbor:"2,keyasint,omitempty"` // failed runs of all tasks; counted for gangs only
-	Tasks     []Task `cbor:"3,keyasint"`
+	TasksLeft int `cbor:"1,keyasint"` // number of tasks that are not done
+	// Failures counts the failed runs of a gang, however many of its members a run failed
+	// with. Before FormatGangRuns it counts the failed ends of all members.
+	Failures int    `cbor:"2,keyasint,omitempty"`
+	Tasks    []Task `cbor:"3,keyasint"`
+	// FailedRun is the latest run of a gang that Failures includes; 0 before FormatGangRuns.
+	FailedRun RunNumber `cbor:"4,keyasint,omitempty"`
 }
 
 // Task is the state of one task.
--- a/internal/workflow/tracker/tracker_test.go
+++ b/internal/workflow/tracker/tracker_test.go
@@ -33,7 +33,7 @@
 	index := rapid.IntRange(0, 3).Draw(t, "index")
 	number := tracker.RunNumber(rapid.IntRange(1, 3).Draw(t, "number"))
 	target := rapid.SampledFrom([]tracker.TargetID{"t1", "t2", "t3"}).Draw(t, "target")
-	switch rapid.IntRange(0, 9).Draw(t, "kind") {
+	switch rapid.IntRange(0, 10).Draw(t, "kind") {
 	case 0:
 		return tracker.Event{JobAccepted: &tracker.JobAccepted{Queue: "q", Job: &definer.Job{ID: job, Steps: []definer.Step{
 			{Count: 3}, {Count: 2, Gang: true, DependsOn: []int{0}},
@@ -54,6 +54,8 @@
 		return tracker.Event{VMServiced: &tracker.VMServiced{Wave: 1, VM: "a"}}
 	case 8:
 		return tracker.Event{RunsStarted: &tracker.RunsStarted{Step: step, Number: number, Runs: []tracker.Placement{{Index: index, Target: target}}}}
+	case 9:
+		return tracker.Event{FormatRaised: &tracker.FormatRaised{Format: tracker.CurrentFormat}}
 	}
 	how := rapid.SampledFrom([]tracker.End{tracker.EndDone, tracker.EndFailed, tracker.EndTargetLost}).Draw(t, "how")
 	return tracker.Event{RunEnded: &tracker.RunEnded{Task: step.Task(index), Number: number, How: how, Checkpoint: "c"}}
@@ -126,6 +128,9 @@
 						undone++
 					}
 				}
+				if s.Format >= tracker.FormatGangRuns && o.Steps[i].Failures > int(o.Steps[i].FailedRun) {
+					t.Fatalf("job %s step %d: %d failed runs of a gang up to run %d", id, i, o.Steps[i].Failures, o.Steps[i].FailedRun)
+				}
 				if undone != o.Steps[i].TasksLeft {
 					t.Fatalf("job %s step %d: %d tasks are not done, TasksLeft is %d", id, i, undone, o.Steps[i].TasksLeft)
 				}
