Grant the short lease to restarted targets without long-running tasks

What callers could have seen: two runs of a task (TWICE) after a change of the leader.

Cause: a target that has restarted is marked for 10.2 s, as a late order may have granted it a lease of any length, and polls granted it 6.5 s meanwhile. When the mark was cleared, its record told the next leader 3 s, while the last poll had granted 6.5 s.

--- a/internal/workflow/planner/lease_test.go
+++ b/internal/workflow/planner/lease_test.go
@@ -387,3 +387,28 @@
 		c.Assert(s.p.Load(s.now).Unresponsive == 0, quicktest.Equals, late)
 	}
 }
+
+// The longest lease that a restarted target may have had is over. The next leader waits for
+// the lease that was granted just before.
+func TestNextLeaderWaitsForTheLeaseThatATargetGotWhileItsFormerOneRanOut(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	s.restart(1, 2)
+	s.answerPollsFor(9800 * time.Millisecond)
+	start := s.submit(7, minuteTask)[0]
+	s.acceptStart(start)
+	running := row{target: start.To.Target, task: start.Task, number: 1, percent: 10}
+	deadline := start.Deadline
+	for s.p.State.Targets["t1"].AnyLease {
+		for _, o := range s.polls() {
+			deadline = max(deadline, o.Deadline)
+			s.answerPoll(o, running)
+		}
+		s.advance(50 * time.Millisecond)
+	}
+	leaseEnd := s.lapse("t1", deadline)
+	s.announce(s.record(2))
+	s.changeTerm(2)
+	s.timeUntilStartedElsewhere(start)
+	c.Assert(s.now.Monotonic.After(leaseEnd), quicktest.IsTrue, quicktest.Commentf("%s before its lease was over", leaseEnd.Sub(s.now.Monotonic)))
+}
--- a/internal/workflow/planner/leases.go
+++ b/internal/workflow/planner/leases.go
@@ -23,7 +23,7 @@
 	if t.rec.Draining {
 		return min(p.Limits.DrainLease, p.Limits.ShortLease)
 	}
-	if t.rec.LongLease || t.rec.AnyLease {
+	if t.rec.LongLease {
 		return p.longLease()
 	}
 	return p.Limits.ShortLease
