--- a/internal/workflow/planner/lease_test.go
+++ b/internal/workflow/planner/lease_test.go
@@ -388,6 +388,25 @@
 	}
 }
 
+// A restarted target accepts the token late. Until then a late order may grant it the
+// longest lease, so that the lease counts from the acceptance.
+func TestLeaseOfARestartedTargetCountsFromItsAcceptanceOfTheToken(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 2)
+	start := s.submit(7, minuteTask)[0]
+	s.loseAnswer(start)
+	rec := s.record(int(start.To.Target[1] - '0'))
+	rec.Incarnation = 2
+	s.announce(rec)
+	s.failPollsFor(rec.ID, 2*time.Second)
+	s.answerPolls(row{target: rec.ID, task: start.Task, number: 1, percent: 10})
+	accepted := s.now.Monotonic
+	s.starts()
+	s.timeUntilStartedElsewhere(start)
+	took := s.now.Monotonic.Sub(accepted)
+	c.Assert(took > bounds.MaxLease, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+}
+
 // The longest lease that a restarted target may have had is over. The next leader waits for
 // the lease that was granted just before.
 func TestNextLeaderWaitsForTheLeaseThatATargetGotWhileItsFormerOneRanOut(t *testing.T) {
