Tell the next leader how much is left of the lease of a restarted target

Cause: a restarted target may hold the longest lease by a late order. The record says so, but not how much of it is over, so that the next leader counted all of it from its own begin.

Now the leader records how much is left, in steps of 0.5 s, once the target has accepted its token and rejects earlier orders. That can only become less, so that no clocks have to be compared. A record without it is read as before.

Failed before, on: TestNextLeaderWaitsForWhatIsLeftOfTheLeaseOfARestartedTarget (10.3 s).

--- a/internal/workflow/planner/identity.go
+++ b/internal/workflow/planner/identity.go
@@ -170,6 +170,10 @@
 	seen := a.Target
 	seen.Sequence = a.Sequence
 	seen.AnyLease = old != nil && (old.rec.Incarnation < a.Target.Incarnation || old.rec.AnyLease)
+	seen.AnyLeaseLeft = 0
+	if old != nil && old.rec.Incarnation == a.Target.Incarnation {
+		seen.AnyLeaseLeft = old.rec.AnyLeaseLeft
+	}
 	p.emit(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: seen}}, now)
 	rec := p.State.Targets[a.Target.ID]
 	p.log("target seen", "target", rec.ID, "life", int64(rec.Incarnation), "address", rec.Address, "pool", rec.Pool,
@@ -317,7 +321,7 @@
 func (p *Planner) recordIncarnation(t *target, incarnation tracker.Incarnation, now Moment) {
 	seen := *t.rec
 	seen.Incarnation, seen.Sequence, seen.Draining, seen.LongLease = incarnation, 0, false, false
-	seen.AnyLease, seen.Unannounced = true, true
+	seen.AnyLease, seen.AnyLeaseLeft, seen.Unannounced = true, 0, true
 	p.emit(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: seen}}, now)
 	t.rec, t.announcementSequence = p.State.Targets[seen.ID], 0
 	t.tokenConfirmed, t.hasClock, t.endCursor = false, false, 0
--- a/internal/workflow/planner/lease_test.go
+++ b/internal/workflow/planner/lease_test.go
@@ -388,6 +388,22 @@
 	}
 }
 
+// A target starts again, gets a long-running task, and is lost with the leader. Guards
+// against a next leader that waits for the longest lease anew, of which a part was over.
+func TestNextLeaderWaitsForWhatIsLeftOfTheLeaseOfARestartedTarget(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	s.restart(1, 2)
+	s.answerPollsFor(1800 * time.Millisecond)
+	start := s.startLongRunning()
+	s.answerPollsFor(900*time.Millisecond, row{target: start.To.Target, task: start.Task, number: 1, percent: 100})
+	s.announce(s.record(2))
+	s.changeTerm(2)
+	took := s.timeUntilStartedElsewhere(start)
+	c.Assert(took < maxTaskOutage, quicktest.IsTrue, quicktest.Commentf("after %s", took))
+	c.Assert(took > bounds.MaxLease-2700*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %s: a late order may have granted the longest lease", took))
+}
+
 // A restarted target accepts the token late. Until then a late order may grant it the
 // longest lease, so that the lease counts from the acceptance.
 func TestLeaseOfARestartedTargetCountsFromItsAcceptanceOfTheToken(t *testing.T) {
--- a/internal/workflow/planner/leases.go
+++ b/internal/workflow/planner/leases.go
@@ -53,7 +53,7 @@
 	switch {
 	case p.without(WithoutLeaseRecord):
 		return short
-	case rec.AnyLease:
+	case rec.AnyLease && rec.AnyLeaseLeft == 0:
 		return p.Settings.MaxLease
 	case p.State.ShortLease > 0 && !rec.LongLease:
 		return short
@@ -67,32 +67,73 @@
 // lost again, its long-running tasks can't run elsewhere in time: until it accepted the
 // present token, a late order may have granted it a lease of any length.
 func (p *Planner) mayOutlastLeases(t *target, now Moment) bool {
-	return t.rec.AnyLease && now.Monotonic.Sub(t.confirmedAt) < restartPause && t.leaseEnd.Sub(now.Monotonic) > p.maxElapsed(p.longLease())+restartPause
+	limit := max(p.longestLease()-restartPause, p.maxElapsed(p.longLease())+leaseMargin)
+	return t.rec.AnyLease && t.leaseEnd.Sub(now.Monotonic) > limit
 }
 
 // restartPause is how long a restarted target gets no long-running tasks. A lease of 10 s
 // that began before it is over 9.3 s after a loss that follows.
 const restartPause = time.Second
 
-// setAnyLease records whether a target may run something under a lease of any length.
-func (p *Planner) setAnyLease(t *target, set bool, now Moment) {
-	if t.rec.AnyLease == set {
+// longestLease returns the longest real time that runs may continue under a lease.
+func (p *Planner) longestLease() time.Duration {
+	return p.maxElapsed(p.Settings.MaxLease) + leaseMargin
+}
+
+// recordAnyLease records whether a target may run something under a lease of any length,
+// and for how long at most; 0: that is not known.
+func (p *Planner) recordAnyLease(t *target, set bool, left time.Duration, now Moment) {
+	if t.rec.AnyLease == set && t.rec.AnyLeaseLeft == left {
 		return
 	}
 	seen := *t.rec
-	seen.AnyLease = set
+	seen.AnyLease, seen.AnyLeaseLeft = set, left
 	p.emit(tracker.Event{TargetSeen: &tracker.TargetSeen{Target: seen}}, now)
 	t.rec = p.State.Targets[seen.ID]
 }
 
-// clearAnyLease clears AnyLease once all leases have expired that were granted before
-// the target has rejected earlier orders because of the present token.
-func (p *Planner) clearAnyLease(t *target, now Moment) {
-	if t.rec.AnyLease && t.tokenConfirmed && now.Monotonic.Sub(t.confirmedAt) > p.maxElapsed(p.Settings.MaxLease) {
-		p.setAnyLease(t, false, now)
+// boundAnyLease bounds a lease of any length once the target has accepted a token: it
+// rejects earlier orders from now on, and no longer lease than one granted now is left.
+func (p *Planner) boundAnyLease(t *target, now Moment) {
+	if !t.rec.AnyLease || !t.anyLeaseEnd.IsZero() {
+		return
+	}
+	p.assumeLease(t, p.Settings.MaxLease, now)
+	t.anyLeaseEnd = now.Monotonic.Add(p.longestLease())
+}
+
+// recoverAnyLease takes over how much of a lease of any length was left when an earlier
+// leader recorded it.
+func (p *Planner) recoverAnyLease(t *target, now Moment) {
+	if !t.rec.AnyLease || t.rec.AnyLeaseLeft == 0 {
+		return
+	}
+	t.anyLeaseEnd = now.Monotonic.Add(t.rec.AnyLeaseLeft)
+	if t.anyLeaseEnd.After(t.leaseEnd) {
+		t.leaseEnd = t.anyLeaseEnd
 	}
 }
 
+// checkAnyLease records how much is left of a lease of any length, for the next leader, and
+// clears AnyLease once it is over.
+func (p *Planner) checkAnyLease(t *target, now Moment) {
+	if !t.rec.AnyLease || t.anyLeaseEnd.IsZero() {
+		return
+	}
+	left := t.anyLeaseEnd.Sub(now.Monotonic)
+	switch {
+	case left <= 0:
+		t.anyLeaseEnd = time.Time{}
+		p.recordAnyLease(t, false, 0, now)
+	case t.rec.AnyLeaseLeft == 0 || t.rec.AnyLeaseLeft-left >= anyLeaseStep:
+		p.recordAnyLease(t, true, left, now)
+	}
+}
+
+// anyLeaseStep is the precision to which the next leader knows how much is left of a lease
+// of any length.
+const anyLeaseStep = 500 * time.Millisecond
+
 // assumeLease records that the runs on a target may continue for a lease measured
 // on the target's clock.
 func (p *Planner) assumeLease(t *target, lease time.Duration, now Moment) {
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -114,11 +114,8 @@
 	p.recordSurvival(t, r.Sent)
 	p.settleAddress(t, r.Sent, now)
 	if !t.tokenConfirmed {
-		t.tokenConfirmed, t.confirmedAt = true, now.Monotonic
-		if t.rec.AnyLease {
-			// A late order may have granted the longest lease until now.
-			p.assumeLease(t, p.Settings.MaxLease, now)
-		}
+		t.tokenConfirmed = true
+		p.boundAnyLease(t, now)
 		p.log("target accepted the fencing token", "target", t.rec.ID, "token", int64(p.token(t)), "running", len(r.Running))
 		p.recordVMReturn(t.rec, now)
 	}
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -189,7 +189,8 @@
 		p.log("target restarted: its clock went back", "target", t.rec.ID, "clock", int64(o.Clock), "before", int64(t.clock))
 		t.responsive, t.tokenConfirmed, t.hasClock, t.endCursor = false, false, false, 0
 		t.pollDue = now.Monotonic
-		p.setAnyLease(t, true, now)
+		p.recordAnyLease(t, true, 0, now)
+		t.anyLeaseEnd = time.Time{}
 		p.assumeLease(t, p.Settings.MaxLease, now)
 		if r != nil && !o.Stop {
 			r.state = runUnconfirmed
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -32,8 +32,8 @@
 	hasClock       bool
 	clock          ClockMillis // in the newest answer
 	clockAt        time.Time   // when that answer was received
-	confirmedAt    time.Time   // when tokenConfirmed was set
 	leaseEnd       time.Time   // no run ordered so far continues after it, unless the lease is extended
+	anyLeaseEnd    time.Time   // no lease that Target.AnyLease stands for continues after it; zero: not known
 	deadline       ClockMillis // latest end of the lease that was sent
 
 	polling              bool
@@ -83,6 +83,7 @@
 	t := p.newTarget(rec, p.nextEpoch(rec.ID), now)
 	t.slot = p.takeSlot()
 	p.assumeLease(t, p.maxEarlierLease(rec), now)
+	p.recoverAnyLease(t, now)
 	p.targets[rec.ID] = t
 	p.occupyAddress(t)
 	p.joinPool(t)
@@ -198,7 +199,7 @@
 		}
 		p.checkRuns(t, now)
 		p.loseFormerRuns(t, now)
-		p.clearAnyLease(t, now)
+		p.checkAnyLease(t, now)
 		p.drainTarget(t, now)
 		p.checkDeparture(t, now)
 		p.loseLapsedRuns(t, now)
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -160,6 +160,9 @@
 	// this one. Its deadline is a time on another clock, so that the lease may be the
 	// longest one that targets accept.
 	AnyLease bool `cbor:"16,keyasint,omitempty"`
+	// AnyLeaseLeft is the most real time that was left of such a lease when this record was
+	// made; 0: not known. The incarnation has rejected earlier orders since.
+	AnyLeaseLeft time.Duration `cbor:"18,keyasint,omitempty"`
 	// Unannounced is set if this incarnation has answered a poll and has not announced
 	// itself yet. The rest of the record is that of the earlier incarnation.
 	Unannounced bool `cbor:"17,keyasint,omitempty"`
