Count jobs as pending until a task is known to have started

Cause: a job left the count with the decision to start a run, and did not return to it when the start was refused.

Now it counts until a target has confirmed a start or listed the end of a run; the latter is kept in the replicated state, from FormatBegun on. A start without an answer counts as not begun.

Failed before, with the count by state put back: TestJobsWhoseStartsAreRefusedArePending (refused and unanswered).

--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -84,7 +84,7 @@
 	r := leader.Reply{ID: req.ID}
 	q, rest := c.state.Document.Route(req.State.Host, req.State.Path)
 	if q != nil && rest == "" {
-		r.Verdict, r.IsQueue, r.Pending = planner.Accepted, true, c.state.CountQueued(q.Name)
+		r.Verdict, r.IsQueue, r.Pending = planner.Accepted, true, c.Planner.CountPending(q.Name)
 		req.reply(r)
 		return
 	}
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -29,6 +29,7 @@
 	estimates []time.Duration
 	preempted map[definer.TaskID]int // how often each task was preempted
 	idleSince time.Time              // when its newest run ended, if it has none
+	begun     bool                   // a target has confirmed a start, or listed the end of a run
 }
 
 // stepTiming is the time that a step spent waiting and running, for the log.
@@ -149,7 +150,7 @@
 // addJob starts tracking a job of the replicated state.
 func (p *Planner) addJob(rec *tracker.Job, now Moment) *job {
 	j := &job{
-		rec: rec, id: rec.ID, runs: make(map[runKey]*run), criticalPaths: criticalPathsOf(rec.Def), preempted: make(map[definer.TaskID]int),
+		rec: rec, id: rec.ID, begun: rec.Begun, runs: make(map[runKey]*run), criticalPaths: criticalPathsOf(rec.Def), preempted: make(map[definer.TaskID]int),
 	}
 	for i := range rec.Def.Steps {
 		j.estimates = append(j.estimates, rec.Def.Steps[i].Estimate)
@@ -466,6 +467,18 @@
 	return out
 }
 
+// CountPending returns the number of jobs of a queue that have not ended and of which no
+// task is known to have started: an order to start may be refused, or get lost.
+func (p *Planner) CountPending(queue definer.QueueName) int {
+	n := 0
+	for _, j := range p.jobs {
+		if !j.begun && !j.rec.State.Ended() && j.rec.Queue.Name == queue {
+			n++
+		}
+	}
+	return n
+}
+
 const retryNoDocument = time.Second // documents are resent about every second
 
 // Cancel cancels a job. Reply is called once the cancellation is committed.
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -341,6 +341,7 @@
 
 // markStarted records that the target has the run.
 func (p *Planner) markStarted(r *run, now Moment) {
+	r.job.begun = true
 	if r.state != runStarted {
 		r.state = runStarted
 		r.startedAt = now.Monotonic
@@ -529,6 +530,7 @@
 	delete(t.runs, r.key)
 	delete(j.runs, r.key)
 	j.idleSince = now.Monotonic
+	j.begun = j.begun || how.Listed()
 	t.forgetPace(r.key)
 	t.release(r)
 	p.dirty = true
--- a/internal/workflow/planner/waiting_test.go
+++ b/internal/workflow/planner/waiting_test.go
@@ -510,3 +510,49 @@
 	}
 	c.Fatal("the licensing service was not called for the long-running step within 9 s")
 }
+
+// The only target that may run a job refuses to start its task, as it is unhealthy, or
+// does not answer. Guards against a count of pending jobs that leaves such jobs out.
+func TestJobsWhoseStartsAreRefusedArePending(t *testing.T) {
+	for name, refuse := range map[string]func(*harness, *planner.StartOrder){
+		"refused": func(s *harness, o *planner.StartOrder) {
+			r := s.outcome(o, true)
+			r.Refusal = planner.RefusedUnhealthy
+			s.p.OrderReported(r, s.now)
+			s.plan()
+		},
+		"unanswered": func(s *harness, o *planner.StartOrder) { s.loseAnswer(o) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newHarness(c, 1)
+			c.Assert(s.p.CountPending(queueName), quicktest.Equals, 0)
+			starts := s.submit(7, minuteTask)
+			for range 8 {
+				for _, o := range starts {
+					refuse(s, o)
+				}
+				c.Assert(s.p.CountPending(queueName), quicktest.Equals, 1)
+				s.advance(600 * time.Millisecond)
+				starts = s.starts()
+			}
+			s.changeTerm(2)
+			c.Assert(s.p.CountPending(queueName), quicktest.Equals, 1, quicktest.Commentf("for the next leader"))
+		})
+	}
+}
+
+// A job isn't pending once one of its tasks has started, whoever leads, nor once it has
+// ended.
+func TestJobThatHasBegunIsNotPending(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	start := s.submit(7, definer.Step{Count: 2, Need: cpus(1), Estimate: time.Minute})[0]
+	s.acceptStart(start)
+	c.Assert(s.p.CountPending(queueName), quicktest.Equals, 0)
+	s.answerPolls(row{target: start.To.Target, task: start.Task, number: 1, how: tracker.EndFailed})
+	s.changeTerm(2)
+	c.Assert(s.p.CountPending(queueName), quicktest.Equals, 0)
+	s.cancel(7)
+	c.Assert(s.p.CountPending(queueName), quicktest.Equals, 0)
+}
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -179,6 +179,7 @@
 	j := s.Jobs[e.Task.Job]
 	task.removeRun(e.Number)
 	j.ActiveRuns--
+	j.Begun = j.Begun || s.Format >= FormatBegun && e.How.Listed()
 	if e.Checkpoint != "" {
 		task.Checkpoint = e.Checkpoint
 	}
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -101,6 +101,9 @@
 	return "Unknown"
 }
 
+// Listed reports whether a target lists runs that have ended so: it had begun them.
+func (e End) Listed() bool { return e != EndTargetLost && e != EndRefused }
+
 // RunEnded ends a run and frees the capacity that it occupied.
 type RunEnded struct {
 	Task       definer.TaskID `cbor:"1,keyasint"`
@@ -141,9 +144,11 @@
 	// FormatGangRuns counts the failed runs of a gang instead of the failed ends of its
 	// members.
 	FormatGangRuns Format = iota + 1
+	// FormatBegun keeps which jobs have begun.
+	FormatBegun
 
 	// CurrentFormat is the format of the entries that leaders write.
-	CurrentFormat = FormatGangRuns
+	CurrentFormat = FormatBegun
 )
 
 // FormatRaised puts a format into force for the entries that follow. A lower one than the
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -65,7 +65,7 @@
 
 // The states of a job.
 const (
-	Queued JobState = iota // no task has started
+	Queued JobState = iota // no run has been decided
 	Active
 	Completed // every task has succeeded
 	Failed    // a task or gang has failed Queue.MaxAttempts times
@@ -97,6 +97,7 @@
 	ActiveRuns           int                 `cbor:"8,keyasint,omitempty"` // number of runs that have not ended
 	Occurrences          map[int]*Occurrence `cbor:"9,keyasint,omitempty"` // started occurrences; nil once Def is nil
 	ID                   definer.JobID       `cbor:"10,keyasint"`
+	Begun                bool                `cbor:"11,keyasint,omitempty"` // a target has listed the end of a run
 }
 
 // Occurrence is one execution of all steps of a job.
@@ -213,14 +214,3 @@
 	}
 	return nil
 }
-
-// CountQueued returns the number of jobs of a queue that are in state Queued.
-func (s *State) CountQueued(queue definer.QueueName) int {
-	n := 0
-	for _, j := range s.Jobs {
-		if j.State == Queued && j.Queue.Name == queue {
-			n++
-		}
-	}
-	return n
-}
