Forget answered stops when a target starts again

What callers could have seen: two runs of a task (TWICE).

Failed before: TestStopAnsweredByAnEarlierIncarnationProvesNothing (the run was given up within 3 s; its lease lasts 10 s).

--- a/internal/workflow/planner/departure_test.go
+++ b/internal/workflow/planner/departure_test.go
@@ -215,6 +215,25 @@
 	}
 }
 
+// A stop was answered by an earlier incarnation, and a late order starts the run again on the
+// next one. The answer proves nothing about that when it departs and falls silent.
+func TestStopAnsweredByAnEarlierIncarnationProvesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	s := &departing{harness: newHarness(c, 2)}
+	s.start = s.submit(7, minuteTask)[0]
+	id := s.start.To.Target
+	s.loseAnswer(s.start)
+	s.cancel(7)
+	s.answerStop()
+	rec := s.record(int(id[1] - '0'))
+	rec.Incarnation = 2
+	s.announce(rec)
+	s.answerPollsFor(200*time.Millisecond, s.running())
+	s.p.Depart(planner.Departure{Target: id, Incarnation: 2}, func() {}, s.now)
+	s.failPollsFor(id, 3*time.Second)
+	c.Assert(s.runEnds(7), quicktest.HasLen, 0)
+}
+
 // The call is answered in time although the target confirms no stop, and every call that
 // repeats it as well.
 func TestDepartureCallIsAnsweredWithoutEnds(t *testing.T) {
--- a/internal/workflow/planner/identity.go
+++ b/internal/workflow/planner/identity.go
@@ -287,7 +287,7 @@
 		if !late && r.goneAt.IsZero() {
 			r.goneAt = former
 		}
-		r.state, r.listed = runRecovered, false
+		r.state, r.listed, r.stoppedAt = runRecovered, false, time.Time{}
 	}
 }
 
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -188,6 +188,9 @@
 	if p.hasRestarted(t, o.Clock) {
 		p.log("target restarted: its clock went back", "target", t.rec.ID, "clock", int64(o.Clock), "before", int64(t.clock))
 		t.responsive, t.tokenConfirmed, t.hasClock, t.endCursor = false, false, false, 0
+		for _, x := range t.runs {
+			x.stoppedAt = time.Time{}
+		}
 		t.pollDue = now.Monotonic
 		p.recordAnyLease(t, true, 0, now)
 		t.anyLeaseEnd = time.Time{}
