--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -267,6 +267,7 @@
 		disabled planner.Mechanism
 		faults   simulator.Faults
 		schedule func(seed int64) *simulator.Simulation // nil: newSchedule
+		limits   planner.Limits                         // where another protection would hide the missing one
 	}{
 		"lease wait":   {disabled: planner.WithoutLeaseWait, faults: simulator.Rough},
 		"stop charge":  {disabled: planner.WithoutStopCharge, faults: simulator.Rough},
@@ -274,7 +275,7 @@
 		"epochs":       {disabled: planner.WithoutEpochs, faults: reborn},
 		"lease record": {disabled: planner.WithoutLeaseRecord, faults: cut},
 		"departures":   {disabled: planner.WithoutDepartureCheck, faults: delayedDepartures},
-		"end":          {disabled: planner.WithoutDepartureProof, schedule: newCutDepartureSchedule},
+		"end":          {disabled: planner.WithoutDepartureProof, schedule: newCutDepartureSchedule, limits: planner.Limits{DrainLease: 3 * time.Second}},
 		"address":      {disabled: planner.WithoutAddressProof, faults: foreign},
 		"withdrawals":  {disabled: planner.WithoutWithdrawals, faults: heldSubmissions},
 		"gang runs":    {disabled: planner.WithoutGangRuns, schedule: newGangSchedule},
@@ -287,7 +288,7 @@
 				if x.schedule != nil {
 					s = x.schedule(seed)
 				}
-				s.Configure = func(p *planner.Planner) { p.Disabled = x.disabled }
+				s.Configure = func(p *planner.Planner) { p.Disabled, p.Limits = x.disabled, x.limits }
 				s.Run(length)
 				if len(s.Result.Problems) > 0 {
 					t.Logf("seed %d: %s", seed, s.Result.Problems[0])
