--- a/internal/workflow/planner/departure_test.go
+++ b/internal/workflow/planner/departure_test.go
@@ -342,3 +342,63 @@
 	s.answerPolls(row{target: id, task: start.Task, number: 1, how: tracker.EndDone})
 	c.Assert(s.runEnds(7), quicktest.DeepEquals, []tracker.End{tracker.EndDone})
 }
+
+// A target starts again while its departure call is held.
+func TestHeldDepartureCallOfARestartedTargetIsAnswered(t *testing.T) {
+	c := quicktest.New(t)
+	s := newDeparture(c, 1)
+	c.Assert(s.answered, quicktest.IsFalse)
+	rec := s.record(int(s.start.To.Target[1] - '0'))
+	rec.Incarnation = 2
+	s.announce(rec)
+	s.plan()
+	c.Assert(s.answered, quicktest.IsTrue)
+}
+
+// A target that answers no orders will list no ends, so that its departure call is answered at
+// once.
+func TestDepartureCallOfASilentTargetIsNotHeld(t *testing.T) {
+	c := quicktest.New(t)
+	s := newDeparture(c, 1)
+	s.answerPolls(s.running())
+	s.failPollsFor(s.start.To.Target, 100*time.Millisecond)
+	c.Assert(s.answered, quicktest.IsTrue)
+}
+
+// Tasks of a target that ends unseen wait for its lease; see DrainLease.
+func TestDrainingTargetGetsAShorterLease(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 1)
+	rec := s.record(1)
+	rec.Draining = true
+	s.announce(rec)
+	s.advance(50 * time.Millisecond)
+	s.answerPolls()
+	s.advance(3 * time.Second)
+	s.answerPolls()
+	s.advance(50 * time.Millisecond)
+	polls := s.polls()
+	c.Assert(polls, quicktest.HasLen, 1)
+	for _, o := range polls {
+		l := time.Duration(o.Deadline-s.clock("t1")) * time.Millisecond
+		c.Assert(l <= 2*time.Second && l > 1900*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", l))
+	}
+}
+
+// A stop was answered before the clock of the target went back: a process that answered it
+// has ended, and a late order may have started the run on the next one.
+func TestStopAnsweredBeforeTheClockWentBackProvesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	s := newDeparture(c, 1)
+	s.answerPollsFor(1500*time.Millisecond, s.running())
+	answer := func(clock planner.ClockMillis) {
+		s.p.OrderReported(&planner.OrderReport{Target: s.start.To.Target, Incarnation: 1, Token: s.start.To.Token, Task: s.start.Task, Number: 1, Stop: true,
+			Answered: true, Sent: s.now.Monotonic, Received: s.now.Monotonic, Clock: clock}, s.now)
+		s.plan()
+	}
+	answer(s.clock(s.start.To.Target))
+	answer(1)
+	c.Assert(s.lines("target restarted: its clock went back"), quicktest.Equals, 1)
+	s.failPollsFor(s.start.To.Target, 3*time.Second)
+	c.Assert(s.runEnds(7), quicktest.HasLen, 0)
+}
--- a/internal/workflow/tracker/gangs_test.go
+++ b/internal/workflow/tracker/gangs_test.go
@@ -114,6 +114,20 @@
 	c.Assert(s.Jobs[1].State, quicktest.Equals, tracker.Completed)
 }
 
+// The same with a later step, for which the job goes on.
+func TestFailureAfterTheSuccessOfAGangDoesNotEndItsJob(t *testing.T) {
+	c := quicktest.New(t)
+	s := &gang{newState(), definer.StepID{Job: 1}}
+	s.ApplyEvent(tracker.Event{FormatRaised: &tracker.FormatRaised{Format: tracker.CurrentFormat}}, 1)
+	s.ApplyEvent(tracker.Event{JobAccepted: &tracker.JobAccepted{Queue: "q", Job: &definer.Job{ID: 1, Steps: []definer.Step{{Count: 3, Gang: true}, {Count: 1, DependsOn: []int{0}}}}}}, 2)
+	s.ApplyEvent(tracker.Event{OccurrenceBegun: &tracker.OccurrenceBegun{Job: 1}}, 2)
+	s.start(1)
+	s.end(1, tracker.EndFailed, tracker.EndGangBroken, tracker.EndGangBroken)
+	s.start(2)
+	s.end(2, tracker.EndDone, tracker.EndFailed, tracker.EndDone)
+	c.Assert(s.Jobs[1].State, quicktest.Equals, tracker.Active)
+}
+
 func readHex(c *quicktest.C, name string) [][]byte {
 	text, err := os.ReadFile("testdata/" + name)
 	c.Assert(err, quicktest.IsNil)
