--- a/internal/workflow/definer/definer.go
+++ b/internal/workflow/definer/definer.go
@@ -168,6 +168,8 @@
 	Grace       time.Duration `cbor:"8,keyasint,omitempty"`
 	Timeout     time.Duration `cbor:"9,keyasint,omitempty"` // time limit of a caller's request
 	Licence     Licence       `cbor:"10,keyasint,omitzero"`
+	// Anonymous lets callers use the queue without a key. Its jobs have no workspace.
+	Anonymous bool `cbor:"11,keyasint,omitempty"`
 }
 
 // Licence declares whether the steps of a queue may run only on targets for which
@@ -194,6 +196,42 @@
 	Queues  []Queue `cbor:"2,keyasint,omitempty"`
 	Pools   []Pool  `cbor:"3,keyasint,omitempty"`
 	Source  []byte  `cbor:"4,keyasint"` // the document as the operator sent it
+	// Workspaces holds the declared workspaces; nil: the document declares none, and
+	// callers need no key.
+	Workspaces []Workspace `cbor:"5,keyasint,omitempty"`
+}
+
+// WorkspaceName identifies a workspace: callers that share keys, limits and a weight.
+type WorkspaceName string
+
+// Key authenticates the callers of a workspace. It never appears in logs or errors.
+type Key string
+
+// String returns a placeholder, so that a formatted key discloses nothing.
+func (Key) String() string { return "key" }
+
+// GoString is String, for the verb %#v.
+func (Key) GoString() string { return "key" }
+
+// Workspace declares who may submit jobs, and how much those jobs may use.
+type Workspace struct {
+	Name   WorkspaceName  `cbor:"1,keyasint"`
+	Keys   []Key          `cbor:"2,keyasint,omitempty"`
+	Weight float64        `cbor:"3,keyasint,omitempty"` // share under contention, and jobs per second that the workspace is entitled to
+	Limit  registrar.Need `cbor:"4,keyasint,omitzero"`  // what its runs may occupy in total; 0: no limit, for each resource
+}
+
+// Workspace returns the workspace with a name, or nil.
+func (d *Document) Workspace(name WorkspaceName) *Workspace {
+	if d == nil {
+		return nil
+	}
+	for i := range d.Workspaces {
+		if d.Workspaces[i].Name == name {
+			return &d.Workspaces[i]
+		}
+	}
+	return nil
 }
 
 // Route returns the queue of host whose prefix is the longest that matches path,
--- a/internal/workflow/tracker/apply.go
+++ b/internal/workflow/tracker/apply.go
@@ -133,7 +133,7 @@
 	if q == nil {
 		return
 	}
-	s.Jobs[e.Job.ID] = &Job{ID: e.Job.ID, Def: e.Job, Queue: *q, Accepted: at, Occurrences: make(map[int]*Occurrence)}
+	s.Jobs[e.Job.ID] = &Job{ID: e.Job.ID, Def: e.Job, Queue: *q, Workspace: e.Workspace, Accepted: at, Occurrences: make(map[int]*Occurrence)}
 }
 
 func (s *State) cancelJob(id definer.JobID, at registrar.Millis) {
--- a/internal/workflow/tracker/event.go
+++ b/internal/workflow/tracker/event.go
@@ -51,8 +51,9 @@
 
 // JobAccepted adds a job.
 type JobAccepted struct {
-	Job   *definer.Job      `cbor:"1,keyasint"`
-	Queue definer.QueueName `cbor:"2,keyasint"`
+	Job       *definer.Job          `cbor:"1,keyasint"`
+	Queue     definer.QueueName     `cbor:"2,keyasint"`
+	Workspace definer.WorkspaceName `cbor:"3,keyasint,omitempty"`
 }
 
 // JobCancelled ends a job. The leader then stops its runs.
--- a/internal/workflow/tracker/tracker.go
+++ b/internal/workflow/tracker/tracker.go
@@ -103,6 +103,9 @@
 	Occurrences          map[int]*Occurrence `cbor:"9,keyasint,omitempty"` // started occurrences; nil once Def is nil
 	ID                   definer.JobID       `cbor:"10,keyasint"`
 	Begun                bool                `cbor:"11,keyasint,omitempty"` // a target has listed the end of a run
+	// Workspace is the one that the job was accepted for; empty: none. Later documents
+	// don't change it.
+	Workspace definer.WorkspaceName `cbor:"12,keyasint,omitempty"`
 }
 
 // Occurrence is one execution of all steps of a job.
