--- a/internal/workflow/planner/workspaces.go
+++ b/internal/workflow/planner/workspaces.go
@@ -46,7 +46,7 @@
 func (p *Planner) workspaceLoads() []WorkspaceLoad {
 	var out []WorkspaceLoad
 	for _, name := range slices.Sorted(maps.Keys(p.workspaces)) {
-		out = append(out, WorkspaceLoad{name, p.workspaces[name].usage, p.workspaces[name].limit})
+		out = append(out, WorkspaceLoad{name, p.workspaceUsage(name), p.workspaceLimit(name)})
 	}
 	return out
 }
@@ -96,6 +96,9 @@
 // workspaceLimit returns what the runs of a workspace may occupy in total; 0: no limit, for
 // each resource. For a workspace that is not declared any more it is the last declared limit.
 func (p *Planner) workspaceLimit(name definer.WorkspaceName) registrar.Need {
+	if w := p.workspaces[name]; w != nil {
+		return w.limit
+	}
 	return p.State.WorkspaceLimit(name)
 }
 
