--- a/internal/load/emulator/audit.go
+++ b/internal/load/emulator/audit.go
@@ -29,10 +29,13 @@
 	// Calm reports whether no fault has been near lately, so that gangs have no
 	// excuse.
 	Calm func(now time.Time) bool
+	// Workspace returns the workspace of a job, empty for none, and its limit. nil: there are none.
+	Workspace func(id definer.JobID) (definer.WorkspaceName, registrar.Need)
 
 	Problems []string
 	jobs     map[definer.JobID]*auditedJob
 	tasks    map[definer.TaskID]*auditedTask
+	runs     map[definer.WorkspaceName]workspaceRuns
 }
 
 type auditedJob struct {
@@ -167,6 +170,7 @@
 	}
 	step := &j.def.Steps[r.Key.Task.Step]
 	a.checkRoom(r, now)
+	a.checkLimit(r, now)
 	a.checkTwice(t, r, step, now)
 	a.checkOrder(j, r, step, now)
 	if j.maxAttempts > 0 && !step.LongRunning && t.failures >= j.maxAttempts {
@@ -263,6 +267,7 @@
 func (a *Audit) ended(r *Run, how tracker.End, now time.Time) {
 	t := a.task(r.Key.Task)
 	delete(t.active, r.Key)
+	a.leaveLimit(r)
 	t.ends = append(t.ends, how)
 	if now.After(t.endedAt) {
 		t.endedAt = now
--- a/internal/load/simulator/callers.go
+++ b/internal/load/simulator/callers.go
@@ -41,10 +41,11 @@
 	Lasting     bool
 	Stays       time.Duration // until a lasting job is cancelled
 	Licence     definer.Licence
-	Admitted    float64 // share of targets that get a ticket
-	Burst       float64 // factor of the rate in the burst
-	Poison      float64 // share of jobs that can't be done
-	Initial     int     // jobs at the start of the load
+	Admitted    float64        // share of targets that get a ticket
+	Burst       float64        // factor of the rate in the burst
+	Poison      float64        // share of jobs that can't be done
+	Initial     int            // jobs at the start of the load
+	Limit       registrar.Need // of all runs, if Simulation.Workspaces is set; 0: none
 }
 
 // KindResult tells how the callers of a kind were served.
@@ -102,6 +103,9 @@
 			q.Licence = k.Licence
 		}
 		d.Queues = append(d.Queues, q)
+		if s.Workspaces {
+			d.Workspaces = append(d.Workspaces, definer.Workspace{Name: definer.WorkspaceName(k.Name), Keys: []definer.Key{definer.Key(k.Name)}, Weight: 1, Limit: k.Limit})
+		}
 	}
 	s.document = d
 	var put func()
@@ -315,7 +319,7 @@
 	}
 	s.audit.CancelSent(c.id)
 	s.tell(func(p *planner.Planner, now planner.Moment) {
-		p.Cancel(planner.Place{Host: "h", Path: s.path(c)}, func(a planner.Answer) {
+		p.Cancel(planner.Place{Host: "h", Path: s.path(c), Credential: s.credential(c)}, func(a planner.Answer) {
 			s.trace("held job %s is cancelled: %s", c.id, a.Verdict)
 			c.cancelled = c.cancelled || a.Verdict == planner.Accepted || a.Verdict == planner.Unknown
 			c.withdrawn = c.withdrawn || a.Verdict == planner.Unknown
@@ -339,8 +343,13 @@
 
 func (s *Simulation) path(c *client) string { return "/" + s.Mix[c.kind].Name + "/" + c.id.String() }
 
+// credential returns that of the caller of a job.
+func (s *Simulation) credential(c *client) planner.Credential {
+	return planner.Credential{Key: definer.Key(s.Mix[c.kind].Name)}
+}
+
 func (s *Simulation) submission(c *client) *planner.Submission {
-	return &planner.Submission{Host: "h", Path: s.path(c), Job: c.def}
+	return &planner.Submission{Host: "h", Path: s.path(c), Job: c.def, Credential: s.credential(c)}
 }
 
 func (s *Simulation) submitted(c *client, a planner.Answer) {
@@ -361,7 +370,7 @@
 	if s.leader == nil {
 		return
 	}
-	rec, a := new(planner.Keyring).Find(s.committed, planner.Place{Host: "h", Path: s.path(c)})
+	rec, a := new(planner.Keyring).Find(s.committed, planner.Place{Host: "h", Path: s.path(c), Credential: s.credential(c)})
 	if rec == nil {
 		s.audit.Problems = append(s.audit.Problems, fmt.Sprintf("accepted job %s: %s", c.id, a.Reason))
 		return
@@ -412,7 +421,7 @@
 	path := s.path(c)
 	answered := false
 	s.tell(func(p *planner.Planner, now planner.Moment) {
-		p.Cancel(planner.Place{Host: "h", Path: path}, func(a planner.Answer) {
+		p.Cancel(planner.Place{Host: "h", Path: path, Credential: s.credential(c)}, func(a planner.Answer) {
 			if a.Verdict == planner.Accepted {
 				answered = true
 				s.audit.Cancelled(c.id, s.now)
--- a/internal/load/simulator/room.go
+++ b/internal/load/simulator/room.go
@@ -65,6 +65,9 @@
 // room returns a target that could take a task of a step and has room for a number
 // of them. A gang's room may be on several targets.
 func (s *Simulation) room(id definer.StepID, step *definer.Step, tasks int) tracker.TargetID {
+	if !s.audit.LimitAllows(id.Job, step.Need.Times(tasks)) {
+		return ""
+	}
 	sum := 0
 	for _, h := range s.targets {
 		if !s.couldTake(h, id, step) {
--- a/internal/load/simulator/simulator.go
+++ b/internal/load/simulator/simulator.go
@@ -33,6 +33,8 @@
 	Licensed bool // queues need tickets
 	Proxies  int  // to the licensing service; 0: 5
 	Listed   int  // ends that a target lists in one answer; 0: 500
+	// Workspaces makes each kind of job a workspace with its limit; there are none otherwise.
+	Workspaces bool
 	// FailTogether lets all members of a gang fail with one of them.
 	FailTogether bool
 	// Configure, when set, alters each new planner.
@@ -164,6 +166,12 @@
 	s.now = s.begun
 	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, DrainTime: drainTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm,
 		RestartTime: 6 * time.Second, IdleTime: 3 * time.Second, CalmBefore: 4 * time.Second}
+	if s.Workspaces {
+		s.audit.Workspace = func(id definer.JobID) (definer.WorkspaceName, registrar.Need) {
+			k := &s.Mix[s.jobs[id].kind]
+			return definer.WorkspaceName(k.Name), k.Limit
+		}
+	}
 	s.world = &emulator.World{Work: s.work, Audit: s.audit, FailTogether: s.FailTogether}
 	s.committed = tracker.New()
 	s.jobs = make(map[definer.JobID]*client)
--- a/internal/load/simulator/simulator_test.go
+++ b/internal/load/simulator/simulator_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"masticroad/internal/control/registrar"
 	"masticroad/internal/load/simulator"
 	"masticroad/internal/workflow/planner"
 )
@@ -199,6 +200,28 @@
 	}
 }
 
+// newLimitSchedule plays workspaces that are at their limits most of the time. A limit takes the largest gang.
+func newLimitSchedule(seed int64) *simulator.Simulation {
+	s := newSchedule(seed, simulator.Rough)
+	s.Workspaces = true
+	s.Mix[0].Limit, s.Mix[0].Width = registrar.Need{CPU: 20000, Memory: 30000}, 12
+	s.Mix[1].Limit, s.Mix[1].Gang = registrar.Need{CPU: 45000, Memory: 90000}, 0.2
+	return s
+}
+
+// Guards against a workspace that exceeds its limit by runs that are being stopped, are on targets that do not
+// answer, or were ordered by an earlier leader.
+func TestSchedulesOfWorkspacesAtTheirLimits(t *testing.T) {
+	for seed := range seeds(30) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newLimitSchedule(seed)
+			s.Run(length)
+			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
 // newLossSchedule plays losses of targets and leaders. Crashed targets come back after
 // up to 8 s, or not at all.
 func newLossSchedule(seed int64) *simulator.Simulation {
@@ -298,6 +321,7 @@
 		"withdrawals":  {disabled: planner.WithoutWithdrawals, faults: heldSubmissions},
 		"gang runs":    {disabled: planner.WithoutGangRuns, schedule: newGangSchedule},
 		"whole lists":  {disabled: planner.WithoutWholeLists, schedule: newPartialSchedule},
+		"limits":       {disabled: planner.WithoutWorkspaceLimits, schedule: newLimitSchedule},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -330,8 +354,8 @@
 }
 
 // TestTrace prints what one schedule decides and orders, for tracing a failure. The
-// faults are outages, departures, cut-departures, foreign, partial, gangs, held, relapses, losses or
-// overload, Rough otherwise:
+// faults are outages, departures, cut-departures, foreign, partial, gangs, held, limits, relapses,
+// losses or overload, Rough otherwise:
 //
 //	MASTICROAD_TRACE=358 MASTICROAD_FAULTS=outages go test -run TestTrace -v ./internal/load/simulator
 func TestTrace(t *testing.T) {
@@ -351,6 +375,8 @@
 		s = newSchedule(seed, foreign)
 	case "partial":
 		s = newPartialSchedule(seed)
+	case "limits":
+		s = newLimitSchedule(seed)
 	case "held":
 		s = newSchedule(seed, heldSubmissions)
 	case "gangs":
