--- a/internal/load/mimic/people.go
+++ b/internal/load/mimic/people.go
@@ -29,8 +29,9 @@
 // Client calls daemons, one after the other until one gives a final answer. It
 // may be used by several goroutines.
 type Client struct {
-	Daemons []string // addresses
-	Host    string   // of the queue; empty for operators
+	Daemons []string    // addresses
+	Host    string      // of the queue; empty for operators
+	Key     definer.Key // of the caller's workspace; empty: none
 	http    *http.Client
 }
 
@@ -42,6 +43,13 @@
 	}}
 }
 
+// WithKey returns a client that shares the connections of c and calls with a key.
+func (c *Client) WithKey(key definer.Key) *Client {
+	x := *c
+	x.Key = key
+	return &x
+}
+
 // SetTimeout changes how long a call waits.
 func (c *Client) SetTimeout(d time.Duration) { c.http.Timeout = d }
 
@@ -77,6 +85,9 @@
 		req.Host = c.Host
 		req.Header.Set(codec.HeaderDeadline, strconv.Itoa(int(callTimeout.Milliseconds())))
 	}
+	if c.Key != "" {
+		req.Header.Set(codec.HeaderKey, string(c.Key))
+	}
 	req.Header.Set("Content-Type", codec.ContentType)
 	resp, err := c.http.Do(req)
 	if err != nil {
