--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -43,6 +43,8 @@
 	Log            hclog.Logger
 	Now            func() time.Time
 	Meter          *meter.Meter // nil: no metrics are recorded
+	// WithoutWorkspaces makes it act as a version that passes no keys on, for tests of upgrades.
+	WithoutWorkspaces bool
 
 	mu                 sync.Mutex
 	pending            map[uint64]*pending
@@ -82,6 +84,9 @@
 // leaderWaitTimeout; after that they are refused at once, so that callers retry
 // when there may be a leader.
 func (r *Relayer) Do(ctx context.Context, call leader.Call) leader.Reply {
+	if r.WithoutWorkspaces {
+		call = withoutWorkspaces(call)
+	}
 	startedAt := time.Now()
 	reply := r.do(ctx, call)
 	took := time.Since(startedAt)
@@ -295,7 +300,7 @@
 	defer func() { _ = conn.Close() }() // the stream has ended
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, welcome := openStream(ctx, cancel, conn, &leader.Hello{Daemon: r.Name, Keys: true})
+	stream, welcome := openStream(ctx, cancel, conn, &leader.Hello{Daemon: r.Name, Keys: !r.WithoutWorkspaces})
 	if welcome == nil {
 		r.Log.Debug("no welcome from the presumed leader", "address", address)
 		return
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -114,6 +114,7 @@
 	s.Relayer = &relayer.Relayer{
 		Name: s.Settings.Name, Dial: func(a string) (*grpc.ClientConn, error) { return s.client.Dial(a) }, Seeds: s.Seeds,
 		RequestTickets: s.dispatcher.RequestTickets, Log: s.Log.Named("relay"), Now: s.clock.Monotonic, Meter: s.Meter,
+		WithoutWorkspaces: s.Settings.known() < tracker.FormatWorkspaces,
 	}
 	s.Relayer.Open()
 	if s.Settings.DataFolder == "" {
