--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -39,7 +39,7 @@
 	case req.Cancel != nil:
 		c.Planner.Cancel(req.place(req.Cancel), c.confirmed(answer), now)
 	case req.Authenticate != nil:
-		c.confirmed(answer)(c.Planner.Authenticate(req.place(req.Authenticate)))
+		c.authenticate(req)
 	case req.Announce != nil:
 		c.Planner.Announce(req.Announce, func() { c.acknowledge(req) }, now)
 	case req.Depart != "":
@@ -69,6 +69,15 @@
 	req.reply(leader.Reply{ID: req.ID, Verdict: planner.Accepted, AtLeader: c.MaxAnnouncers == 0 || rank < c.MaxAnnouncers})
 }
 
+// authenticate answers whether a call to a place would be refused for its key.
+func (c *Coordinator) authenticate(req *call) {
+	keyless := !c.Planner.RequiresKeys()
+	a := c.Planner.Authenticate(req.place(req.Authenticate))
+	c.confirmed(func(a planner.Answer) {
+		req.reply(leader.Reply{ID: req.ID, Verdict: a.Verdict, RetryAfter: a.RetryAfter, Reason: a.Reason, Keyless: keyless})
+	})(a)
+}
+
 // place returns a place of the call with what is known of its caller.
 func (req *call) place(x *leader.Place) planner.Place {
 	return planner.Place{Host: x.Host, Path: x.Path, Credential: planner.Credential{Key: x.Key, Withheld: req.withheld}}
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -145,6 +145,7 @@
 	Document   []byte           `cbor:"8,keyasint,omitempty"`
 	Completed  bool             `cbor:"9,keyasint,omitempty"`  // of a wave
 	AtLeader   bool             `cbor:"10,keyasint,omitempty"` // the target is to announce itself at the leader from now on
+	Keyless    bool             `cbor:"11,keyasint,omitempty"` // no call needs a key; in the answer to Authenticate
 }
 
 // Handler serves the streams of daemons on the leader.
--- a/internal/workflow/definer/check.go
+++ b/internal/workflow/definer/check.go
@@ -156,13 +156,10 @@
 		w := &ws[i]
 		place := fmt.Sprintf("Workspaces[%d]", i)
 		if w.Name == "" || names[w.Name] {
-			fs.Add(place+".Name", "%q is empty or taken", w.Name)
+			fs.Add(place+".Name", "%q is empty or taken", truncate(string(w.Name)))
 		}
 		names[w.Name] = true
-		if len(w.Name) > maxNameLength {
-			fs.Add(place+".Name", "%q is longer than %d", truncate(string(w.Name)), maxNameLength)
-		}
-		if !(w.Weight >= 0) {
+		if w.Weight < 0 {
 			fs.Add(place+".Weight", "is negative")
 		}
 		if l := w.Limit; min(int64(l.CPU), int64(l.Memory), int64(l.Accelerators)) < 0 {
--- a/internal/workflow/planner/workspaces_test.go
+++ b/internal/workflow/planner/workspaces_test.go
@@ -319,6 +319,26 @@
 	c.Check(s.usage("shop"), quicktest.Equals, cpus(8).CPU)
 }
 
+// A target that lists a stray run announces another incarnation, which proves nothing of the former one.
+func TestStrayRunOfAReplacedIncarnationStaysChargedForItsLease(t *testing.T) {
+	c := quicktest.New(t)
+	s := newShop(c, 1, 8)
+	start := s.begin(1, tasks(1, 3))[0]
+	s.acceptStart(start)
+	s.answerPolls(row{target: "t1", task: start.Task, number: 1, percent: 1}, row{target: "t1", task: start.Task, number: 5, percent: 1})
+	c.Assert(s.usage("shop"), quicktest.Equals, cpus(6).CPU)
+	until := s.lapse("t1", start.Deadline)
+	rec := s.record(1)
+	rec.Incarnation = 2
+	s.announce(rec)
+	for s.now.Monotonic.Before(until) {
+		c.Assert(s.usage("shop"), quicktest.Equals, cpus(6).CPU)
+		s.advance(50 * time.Millisecond)
+	}
+	s.advance(10 * time.Second)
+	c.Check(s.usage("shop") < cpus(6).CPU, quicktest.IsTrue)
+}
+
 // Guards against steps at the limit of their workspace that take targets from others in vain.
 func TestStepsAtTheLimitPreemptNothingAndHoldNothing(t *testing.T) {
 	c := quicktest.New(t)
