--- a/internal/load/simulator/callers.go
+++ b/internal/load/simulator/callers.go
@@ -43,10 +43,11 @@
 	Lasting     bool
 	Stays       time.Duration // until a lasting job is cancelled
 	Licence     definer.Licence
-	Admitted    float64 // share of targets that get a ticket
-	Burst       float64 // factor of the rate in the burst
-	Poison      float64 // share of jobs that can't be done
-	Initial     int     // jobs at the start of the load
+	Admitted    float64        // share of targets that get a ticket
+	Burst       float64        // factor of the rate in the burst
+	Poison      float64        // share of jobs that can't be done
+	Initial     int            // jobs at the start of the load
+	Limit       registrar.Need // of all runs, if Simulation.Workspaces is set; 0: none
 }
 
 // KindResult tells how the callers of a kind were served.
@@ -110,9 +111,12 @@
 			q.Licence = k.Licence
 		}
 		d.Queues = append(d.Queues, q)
+		if s.Workspaces {
+			d.Workspaces = append(d.Workspaces, definer.Workspace{Name: definer.WorkspaceName(k.Name), Keys: []definer.Key{definer.Key(k.Name)}, Weight: 1, Limit: k.Limit})
+		}
 	}
-	for i := range s.Workspaces {
-		d.Workspaces = append(d.Workspaces, s.Workspaces[i].Workspace)
+	for i := range s.SharedBy {
+		d.Workspaces = append(d.Workspaces, s.SharedBy[i].Workspace)
 	}
 	s.document = d
 	var put func()
@@ -120,7 +124,7 @@
 		if s.committed.Document != nil {
 			return
 		}
-		s.tell(func(p *planner.Planner, now planner.Moment) { p.Put(d, func() {}, now) })
+		s.tell(func(p *planner.Planner, now planner.Moment) { p.Put(d, func(planner.Answer) {}, now) })
 		s.in(300*time.Millisecond, put)
 	}
 	put()
@@ -142,7 +146,7 @@
 	if since := s.now.Sub(s.begun); k.Burst > 0 && since > burstBegin && since < burstEnd {
 		rate *= k.Burst
 	}
-	if len(s.Workspaces) > 0 || len(s.Surges) > 0 {
+	if len(s.SharedBy) > 0 || len(s.Surges) > 0 {
 		rate = s.rateOf(k)
 	}
 	s.in(time.Duration(s.demand.ExpFloat64()/rate*float64(time.Second)), func() {
@@ -333,7 +337,7 @@
 	}
 	s.audit.CancelSent(c.id)
 	s.tell(func(p *planner.Planner, now planner.Moment) {
-		p.Cancel("h", s.path(c), func(a planner.Answer) {
+		p.Cancel(planner.Place{Host: "h", Path: s.path(c), Credential: s.credential(c)}, func(a planner.Answer) {
 			s.trace("held job %s is cancelled: %s", c.id, a.Verdict)
 			c.cancelled = c.cancelled || a.Verdict == planner.Accepted || a.Verdict == planner.Unknown
 			c.withdrawn = c.withdrawn || a.Verdict == planner.Unknown
@@ -357,12 +361,16 @@
 
 func (s *Simulation) path(c *client) string { return "/" + s.Mix[c.kind].Name + "/" + c.id.String() }
 
-func (s *Simulation) submission(c *client) *planner.Submission {
-	sub := &planner.Submission{Host: "h", Path: s.path(c), Job: c.def}
+// credential returns that of the caller of a job.
+func (s *Simulation) credential(c *client) planner.Credential {
 	if c.workspace != nil {
-		sub.Key = c.workspace.Keys[0]
+		return planner.Credential{Key: c.workspace.Keys[0]}
 	}
-	return sub
+	return planner.Credential{Key: definer.Key(s.Mix[c.kind].Name)}
+}
+
+func (s *Simulation) submission(c *client) *planner.Submission {
+	return &planner.Submission{Host: "h", Path: s.path(c), Job: c.def, Credential: s.credential(c)}
 }
 
 func (s *Simulation) submitted(c *client, a planner.Answer) {
@@ -386,7 +394,7 @@
 	if s.leader == nil {
 		return
 	}
-	rec, a := planner.Find(s.committed, "h", s.path(c))
+	rec, a := new(planner.Keyring).Find(s.committed, planner.Place{Host: "h", Path: s.path(c), Credential: s.credential(c)})
 	if rec == nil {
 		s.audit.Problems = append(s.audit.Problems, fmt.Sprintf("accepted job %s: %s", c.id, a.Reason))
 		return
@@ -439,7 +447,7 @@
 	path := s.path(c)
 	answered := false
 	s.tell(func(p *planner.Planner, now planner.Moment) {
-		p.Cancel("h", path, func(a planner.Answer) {
+		p.Cancel(planner.Place{Host: "h", Path: path, Credential: s.credential(c)}, func(a planner.Answer) {
 			if a.Verdict == planner.Accepted {
 				answered = true
 				s.audit.Cancelled(c.id, s.now)
--- a/internal/load/simulator/simulator.go
+++ b/internal/load/simulator/simulator.go
@@ -33,11 +33,13 @@
 	Licensed bool // queues need tickets
 	Proxies  int  // to the licensing service; 0: 5
 	Listed   int  // ends that a target lists in one answer; 0: 500
-	// Workspaces divides the callers; nil: the document declares none.
-	Workspaces []Workspace
-	Surges     []Surge
-	Shortages  []Shortage
-	Size       float64 // of all targets, as a multiple of the usual one; 0: they differ
+	// SharedBy divides the callers among workspaces; nil: they have none.
+	SharedBy  []Workspace
+	Surges    []Surge
+	Shortages []Shortage
+	Size      float64 // of all targets, as a multiple of the usual one; 0: they differ
+	// Workspaces makes each kind of job a workspace with its limit; there are none otherwise.
+	Workspaces bool
 	// FailTogether lets all members of a gang fail with one of them.
 	FailTogether bool
 	// Configure, when set, alters each new planner.
@@ -173,13 +175,19 @@
 func (s *Simulation) open() {
 	s.rand = rand.New(rand.NewSource(s.Seed))
 	s.demand = s.rand
-	if len(s.Workspaces) > 0 {
+	if len(s.SharedBy) > 0 {
 		s.demand = rand.New(rand.NewSource(s.Seed))
 	}
 	s.begun = time.UnixMilli(1_800_000_000_000)
 	s.now = s.begun
 	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, DrainTime: drainTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm,
 		RestartTime: 6 * time.Second, IdleTime: 3 * time.Second, CalmBefore: 4 * time.Second}
+	if s.Workspaces {
+		s.audit.Workspace = func(id definer.JobID) (definer.WorkspaceName, registrar.Need) {
+			k := &s.Mix[s.jobs[id].kind]
+			return definer.WorkspaceName(k.Name), k.Limit
+		}
+	}
 	s.world = &emulator.World{Work: s.work, Audit: s.audit, FailTogether: s.FailTogether}
 	s.committed = tracker.New()
 	s.jobs = make(map[definer.JobID]*client)
--- a/internal/load/simulator/workspaces.go
+++ b/internal/load/simulator/workspaces.go
@@ -61,29 +61,29 @@
 
 // rateOf returns the present rate of a kind.
 func (s *Simulation) rateOf(k *Kind) float64 {
-	if len(s.Workspaces) == 0 {
+	if len(s.SharedBy) == 0 {
 		return k.Rate * s.surgeOf(k, "")
 	}
 	sum := 0.0
-	for i := range s.Workspaces {
-		sum += s.Workspaces[i].Part * s.surgeOf(k, s.Workspaces[i].Name)
+	for i := range s.SharedBy {
+		sum += s.SharedBy[i].Part * s.surgeOf(k, s.SharedBy[i].Name)
 	}
 	return k.Rate * sum
 }
 
 // drawWorkspace returns the workspace of the next job of a kind, nil if there are none.
 func (s *Simulation) drawWorkspace(k *Kind) *Workspace {
-	if len(s.Workspaces) == 0 {
+	if len(s.SharedBy) == 0 {
 		return nil
 	}
 	left := s.demand.Float64() * s.rateOf(k) / k.Rate
-	for i := range s.Workspaces {
-		w := &s.Workspaces[i]
+	for i := range s.SharedBy {
+		w := &s.SharedBy[i]
 		if left -= w.Part * s.surgeOf(k, w.Name); left < 0 {
 			return w
 		}
 	}
-	return &s.Workspaces[len(s.Workspaces)-1]
+	return &s.SharedBy[len(s.SharedBy)-1]
 }
 
 // scheduleShortages lets targets be away.
--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -29,25 +29,25 @@
 	jobs     *prometheus.HistogramVec
 	waits    *prometheus.HistogramVec
 	rejected *prometheus.CounterVec
-	// The metrics of workspaces have series only while a document declares workspaces.
-	workspaceWaits   *prometheus.HistogramVec
-	workspaceShares  *prometheus.GaugeVec
-	workspaceWaiting *prometheus.GaugeVec
-	late             *prometheus.CounterVec
-	calls            *prometheus.HistogramVec
-	orders           *prometheus.HistogramVec
-	rounds           prometheus.Histogram
-	ends             *prometheus.CounterVec
-	failures         *prometheus.CounterVec
-	ignored          *prometheus.CounterVec
-	dropped          prometheus.Counter
-	failed           *prometheus.CounterVec
-	format           *prometheus.GaugeVec // without labels, as only replicas show it
-	leading          prometheus.Gauge
-	voters           prometheus.Gauge
-	differs          prometheus.Counter
-	behind           prometheus.Gauge
-	load             atomic.Pointer[planner.Load]
+	// workspaceWaits has series only while a document declares workspaces.
+	workspaceWaits *prometheus.HistogramVec
+	late           *prometheus.CounterVec
+	calls          *prometheus.HistogramVec
+	orders         *prometheus.HistogramVec
+	rounds         prometheus.Histogram
+	ends           *prometheus.CounterVec
+	failures       *prometheus.CounterVec
+	ignored        *prometheus.CounterVec
+	dropped        prometheus.Counter
+	unknown        prometheus.Counter
+	foreign        prometheus.Counter
+	failed         *prometheus.CounterVec
+	format         *prometheus.GaugeVec // without labels, as only replicas show it
+	leading        prometheus.Gauge
+	voters         prometheus.Gauge
+	differs        prometheus.Counter
+	behind         prometheus.Gauge
+	load           atomic.Pointer[planner.Load]
 }
 
 // New returns a meter with the process's own metrics.
@@ -61,12 +61,6 @@
 		jobs:           histogram("job_seconds", "Time from a job's acceptance to its end.", "queue", "state"),
 		waits:          histogram("step_wait_seconds", "Time from when a step could begin until each of its tasks was placed.", "queue"),
 		workspaceWaits: histogram("workspace_wait_seconds", "Time from when a step of a workspace could begin until each of its tasks was placed.", "workspace"),
-		workspaceShares: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "workspace_share", Help: "Part of the pool that the runs of a workspace take, by the resource of which they take most, at the leader.",
-		}, []string{"workspace"}),
-		workspaceWaiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Namespace: namespace, Name: "workspace_tasks_waiting", Help: "Tasks of a workspace that could run and have no run, at the leader.",
-		}, []string{"workspace"}),
 		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "jobs_rejected_total", Help: "Submissions that were rejected for want of room, by reason, at the leader.",
 		}, []string{"queue", "workspace", "reason"}),
@@ -87,6 +81,12 @@
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "withdrawals_dropped_total", Help: "Cancellations of unknown jobs that were forgotten early, as there were too many, at the leader.",
 		}),
+		unknown: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_unauthorized_total", Help: "Calls refused as they had no valid key, at the leader.",
+		}),
+		foreign: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_forbidden_total", Help: "Calls refused as their job belongs to another workspace, at the leader.",
+		}),
 		failed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "failed_runs_total", Help: "Failed runs of tasks that are not long-running, by whether they used up an attempt of a task or gang, at the leader.",
 		}, []string{"counted"}),
@@ -107,7 +107,7 @@
 		Namespace: namespace, Name: "replicas_left_behind", Help: "Replicas that get no entries since their versions do not follow the format in force, at the leader.",
 	})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.workspaceShares, m.workspaceWaiting, m.calls, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind,
+	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.calls, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
@@ -179,6 +179,20 @@
 	}
 }
 
+// Unauthorized takes in calls without a valid key.
+func (m *Meter) Unauthorized(n int) {
+	if m != nil {
+		m.unknown.Add(float64(n))
+	}
+}
+
+// Forbidden takes in calls for jobs of another workspace.
+func (m *Meter) Forbidden(n int) {
+	if m != nil {
+		m.foreign.Add(float64(n))
+	}
+}
+
 // FailedRuns takes in failed runs by whether they used up an attempt.
 func (m *Meter) FailedRuns(n planner.FailedRuns) {
 	if m != nil {
@@ -289,7 +303,7 @@
 		return
 	}
 	m.leading.Set(0)
-	m.SetLoad(planner.Load{})
+	m.load.Store(&planner.Load{})
 }
 
 // StateDiffers counts a comparison in which this replica's state differed from the leader's.
@@ -315,15 +329,8 @@
 
 // SetLoad tells what the leader has before it.
 func (m *Meter) SetLoad(l planner.Load) {
-	if m == nil {
-		return
-	}
-	m.load.Store(&l)
-	m.workspaceShares.Reset()
-	m.workspaceWaiting.Reset()
-	for _, w := range l.Workspaces {
-		m.workspaceShares.WithLabelValues(string(w.Name)).Set(w.Share)
-		m.workspaceWaiting.WithLabelValues(string(w.Name)).Set(float64(w.Waiting))
+	if m != nil {
+		m.load.Store(&l)
 	}
 }
 
--- a/internal/workflow/planner/admission.go
+++ b/internal/workflow/planner/admission.go
@@ -255,6 +255,7 @@
 		if key.priority == d.queue.Priority {
 			rate.add(f.released, 1)
 		}
+		var before amount
 		for i := range f.waiting {
 			if key.priority == d.queue.Priority && prospect(i) > as {
 				break
@@ -263,12 +264,13 @@
 			if key.priority == d.queue.Priority && prospect(i) == as && as < late {
 				bin = slackBin(d.slack)
 			}
-			before := f.waiting[i].upTo(bin)
-			ahead.add(before, 1)
-			if isOwn {
-				own.add(before, 1)
-			}
+			before.add(f.waiting[i].upTo(bin), 1)
+		}
+		if isOwn {
+			own.add(before, 1)
 		}
+		before.limit(p.workspaceLimit(key.workspace)) // the rest waits for its own runs to end
+		ahead.add(before, 1)
 	}
 	out := prediction{chain: d.chain, ahead: ahead, rate: rate, by: "Pool"}
 	out.start = timeToTake(ahead, x.free, rate)
--- a/internal/workflow/planner/admission_test.go
+++ b/internal/workflow/planner/admission_test.go
@@ -14,8 +14,8 @@
 
 // This file tests which jobs are accepted and in which order workspaces are served.
 
-// putWorkspaces puts a document with workspaces into force. The key of each is its name.
-func (s *harness) putWorkspaces(workspaces ...definer.Workspace) {
+// putWeighted puts a document with workspaces into force. The key of each is its name.
+func (s *harness) putWeighted(workspaces ...definer.Workspace) {
 	s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second})
 	d := *s.p.State.Document
 	d.Version++
@@ -23,13 +23,13 @@
 	for i := range d.Workspaces {
 		d.Workspaces[i].Keys = []definer.Key{definer.Key(d.Workspaces[i].Name)}
 	}
-	s.p.Put(&d, func() {}, s.now)
+	s.p.Put(&d, func(planner.Answer) {}, s.now)
 }
 
-// submitFor submits a job for a workspace.
-func (s *harness) submitFor(workspace definer.WorkspaceName, id definer.JobID, steps ...definer.Step) planner.Answer {
+// submitAs submits a job for a workspace.
+func (s *harness) submitAs(workspace definer.WorkspaceName, id definer.JobID, steps ...definer.Step) planner.Answer {
 	var a planner.Answer
-	s.p.Submit(&planner.Submission{Host: host, Path: prefix + id.String(), Key: definer.Key(workspace), Job: &definer.Job{ID: id, Spec: "spec", Steps: steps}},
+	s.p.Submit(&planner.Submission{Host: host, Path: prefix + id.String(), Credential: planner.Credential{Key: definer.Key(workspace)}, Job: &definer.Job{ID: id, Spec: "spec", Steps: steps}},
 		func(x planner.Answer) { a = x }, s.now)
 	s.plan()
 	return a
@@ -58,13 +58,13 @@
 // its queue, with two workspaces that are entitled to a job in ten seconds.
 func newSharedCell(c *quicktest.C) *harness {
 	s := newHarness(c, 4)
-	s.putWorkspaces(definer.Workspace{Name: "a", Weight: 0.1, Limit: registrar.Need{CPU: 60000}}, definer.Workspace{Name: "b", Weight: 0.1})
+	s.putWeighted(definer.Workspace{Name: "a", Weight: 0.1, Limit: registrar.Need{CPU: 60000}}, definer.Workspace{Name: "b", Weight: 0.1})
 	s.learnRunTimes(1)
 	return s
 }
 
 func (s *harness) learnRunTimes(id definer.JobID) {
-	s.c.Assert(s.submitFor("b", id, oneTask(cpus(1))).Verdict, quicktest.Equals, planner.Accepted)
+	s.c.Assert(s.submitAs("b", id, oneTask(cpus(1))).Verdict, quicktest.Equals, planner.Accepted)
 	s.finish(time.Second, s.starts()...)
 }
 
@@ -73,7 +73,7 @@
 func (s *harness) flood(workspace definer.WorkspaceName, first definer.JobID, jobs int) (accepted []definer.JobID, rejections []planner.Answer) {
 	for i := range jobs {
 		id := first + definer.JobID(i)
-		if a := s.submitFor(workspace, id, definer.Step{Count: 4, Need: cpus(15), Estimate: time.Second}); a.Verdict == planner.Accepted {
+		if a := s.submitAs(workspace, id, definer.Step{Count: 4, Need: cpus(15), Estimate: time.Second}); a.Verdict == planner.Accepted {
 			accepted = append(accepted, id)
 		} else {
 			rejections = append(rejections, a)
@@ -108,8 +108,8 @@
 	c.Assert(rejections[len(rejections)-1].RetryAfter > rejections[0].RetryAfter, quicktest.IsTrue)
 
 	c.Log("A job of another workspace is accepted, and so is a repeat of an accepted one.")
-	c.Assert(s.submitFor("b", 200, oneTask(cpus(15))).Verdict, quicktest.Equals, planner.Accepted)
-	c.Assert(s.submitFor("a", accepted[5], oneTask(cpus(1))).Verdict, quicktest.Equals, planner.Accepted)
+	c.Assert(s.submitAs("b", 200, oneTask(cpus(15))).Verdict, quicktest.Equals, planner.Accepted)
+	c.Assert(s.submitAs("a", accepted[5], oneTask(cpus(1))).Verdict, quicktest.Equals, planner.Accepted)
 
 	c.Log("A rejected job has left no trace.")
 	c.Assert(s.p.State.Jobs, quicktest.HasLen, len(accepted)+2)
@@ -122,7 +122,7 @@
 	s.flood("a", 100, 20)
 	s.records = nil
 	s.changeTerm(2)
-	s.submitFor("a", 300, oneTask(cpus(1)))
+	s.submitAs("a", 300, oneTask(cpus(1)))
 	c.Assert(s.fieldOf("job accepted", "excess"), quicktest.Equals, any(false))
 }
 
@@ -145,13 +145,13 @@
 func TestJobsBeyondTheLimitOfTheirWorkspaceAreRejected(t *testing.T) {
 	c := quicktest.New(t)
 	s := newSharedCell(c)
-	c.Assert(s.submitFor("a", 100, oneTask(cpus(61))).Verdict, quicktest.Equals, planner.Busy)
-	c.Assert(s.submitFor("a", 101, definer.Step{Count: 5, Need: cpus(13), Gang: true}).Verdict, quicktest.Equals, planner.Busy)
+	c.Assert(s.submitAs("a", 100, oneTask(cpus(61))).Verdict, quicktest.Equals, planner.Busy)
+	c.Assert(s.submitAs("a", 101, definer.Step{Count: 5, Need: cpus(13), Gang: true}).Verdict, quicktest.Equals, planner.Busy)
 	idle := oneTask(cpus(61))
 	idle.BestEffortCPU = true
-	c.Assert(s.submitFor("a", 102, idle).Verdict, quicktest.Equals, planner.Busy)
-	c.Assert(s.submitFor("a", 103, definer.Step{Count: 5, Need: cpus(13)}).Verdict, quicktest.Equals, planner.Accepted)
-	c.Assert(s.submitFor("b", 104, oneTask(cpus(61))).Verdict, quicktest.Equals, planner.Accepted)
+	c.Assert(s.submitAs("a", 102, idle).Verdict, quicktest.Equals, planner.Busy)
+	c.Assert(s.submitAs("a", 103, definer.Step{Count: 5, Need: cpus(13)}).Verdict, quicktest.Equals, planner.Accepted)
+	c.Assert(s.submitAs("b", 104, oneTask(cpus(61))).Verdict, quicktest.Equals, planner.Accepted)
 }
 
 // Guards against predictions that count work which can never start.
@@ -159,9 +159,9 @@
 	c := quicktest.New(t)
 	s := newSharedCell(c)
 	for id := range definer.JobID(20) {
-		c.Assert(s.submitFor("b", 100+id, definer.Step{Count: 50, Need: cpus(17), Estimate: time.Second}).Verdict, quicktest.Equals, planner.Accepted)
+		c.Assert(s.submitAs("b", 100+id, definer.Step{Count: 50, Need: cpus(17), Estimate: time.Second}).Verdict, quicktest.Equals, planner.Accepted)
 	}
-	c.Assert(s.submitFor("b", 200, oneTask(cpus(15))).Verdict, quicktest.Equals, planner.Accepted)
+	c.Assert(s.submitAs("b", 200, oneTask(cpus(15))).Verdict, quicktest.Equals, planner.Accepted)
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 }
 
@@ -176,9 +176,9 @@
 		s := newSharedCell(c)
 		s.p.Disabled = x.disabled
 		s.flood("a", 100, 1)
-		s.submitFor("a", 200, oneTask(cpus(15)))
+		s.submitAs("a", 200, oneTask(cpus(15)))
 		s.advance(100 * time.Millisecond)
-		s.submitFor("b", 300, oneTask(cpus(15)))
+		s.submitAs("b", 300, oneTask(cpus(15)))
 		c.Assert(s.starts(), quicktest.HasLen, 0)
 		s.advance(time.Second)
 		done := s.running[0]
@@ -200,15 +200,15 @@
 	low := d.Queues[0]
 	low.Name, low.Prefix, low.Priority = "low", "/low/", 2
 	d.Queues = append(d.Queues, low)
-	s.p.Put(&d, func() {}, s.now)
+	s.p.Put(&d, func(planner.Answer) {}, s.now)
 	s.flood("a", 100, 1)
-	s.submitFor("b", 200, oneTask(cpus(15)))
+	s.submitAs("b", 200, oneTask(cpus(15)))
 	for range 30 {
 		s.advance(500 * time.Millisecond)
 		s.answerPolls(s.running...)
 	}
 	job := &definer.Job{ID: 300, Spec: "spec", Steps: []definer.Step{oneTask(cpus(15))}}
-	s.p.Submit(&planner.Submission{Host: host, Path: "/low/" + job.ID.String(), Key: "b", Job: job}, func(planner.Answer) {}, s.now)
+	s.p.Submit(&planner.Submission{Host: host, Path: "/low/" + job.ID.String(), Credential: planner.Credential{Key: "b"}, Job: job}, func(planner.Answer) {}, s.now)
 	done := s.running[0]
 	done.how = tracker.EndDone
 	s.answerPolls(append(s.running[1:], done)...)
--- a/internal/workflow/planner/shares.go
+++ b/internal/workflow/planner/shares.go
@@ -32,6 +32,15 @@
 	}
 }
 
+// limit lowers a to a limit; 0: no limit.
+func (a *amount) limit(n registrar.Need) {
+	for i, x := range amountOf(n, 1) {
+		if x > 0 {
+			a[i] = min(a[i], x)
+		}
+	}
+}
+
 // shareOf returns the largest fraction that a has of any resource in total.
 func (a amount) shareOf(total amount) float64 {
 	share := 0.0
@@ -110,6 +119,7 @@
 // resource of which they take most.
 type share struct {
 	weight  float64
+	limit   registrar.Need
 	running amount
 	waiting amount
 	claimed float64 // by its runs and the steps that a pass has ordered so far
@@ -152,7 +162,7 @@
 	name := s.job.rec.Workspace
 	w := x.of[name]
 	if w == nil {
-		w = &share{weight: p.weightOf(name)}
+		w = &share{weight: p.weightOf(name), limit: p.workspaceLimit(name)}
 		x.of[name] = w
 	}
 	w.running.add(amountOf(s.def.Charge(), float64(s.runningTasks())), 1)
@@ -196,6 +206,7 @@
 	for name, w := range x.of {
 		total := w.running
 		total.add(w.waiting, 1)
+		total.limit(w.limit)
 		w.claimed = w.running.shareOf(x.capacity)
 		wants = append(wants, want{name, w, total.shareOf(x.capacity)})
 		weights += w.weight
@@ -285,7 +296,7 @@
 		}
 	}
 	for _, s := range waiting {
-		if s.pool == name && !p.isHomeless(s) {
+		if s.pool == name && p.withinLimit(s) && !p.isHomeless(s) {
 			spare.add(amountOf(s.def.Charge(), float64(len(s.waiting))), -1)
 		}
 	}
@@ -301,34 +312,3 @@
 	}
 	return most
 }
-
-// WorkspaceLoad is what a workspace runs and waits for.
-type WorkspaceLoad struct {
-	Name    definer.WorkspaceName // empty: jobs without one
-	Share   float64               // of the pool of which it runs the largest part
-	Waiting int                   // tasks
-}
-
-// workspaceLoads returns the loads of the declared workspaces and of those with work.
-func (p *Planner) workspaceLoads(now Moment) []WorkspaceLoad {
-	if !p.divides() {
-		return nil
-	}
-	loads := make(map[definer.WorkspaceName]WorkspaceLoad)
-	for i := range p.State.Document.Workspaces {
-		name := p.State.Document.Workspaces[i].Name
-		loads[name] = WorkspaceLoad{Name: name}
-	}
-	for _, x := range p.sharesOf(now) {
-		for name, w := range x.of {
-			l := loads[name]
-			loads[name] = WorkspaceLoad{name, max(l.Share, w.running.shareOf(x.capacity)), l.Waiting + w.tasks}
-		}
-	}
-	out := make([]WorkspaceLoad, 0, len(loads))
-	for _, l := range loads {
-		out = append(out, l)
-	}
-	slices.SortFunc(out, func(a, b WorkspaceLoad) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
