--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -42,7 +42,7 @@
 }
 
 // Mechanism is a set of safety mechanisms.
-type Mechanism uint16
+type Mechanism uint32
 
 // The safety mechanisms that tests can disable.
 const (
@@ -60,6 +60,8 @@
 	WithoutGangRuns                              // a run of a gang counts as failed for each member that fails
 	WithoutWithdrawals                           // cancellations of unknown jobs are not remembered
 	WithoutWorkspaceLimits                       // workspaces may exceed their limits
+	WithoutShares                                // pools are not divided among workspaces
+	WithoutAdmission                             // jobs that would end too late are accepted
 )
 
 func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
@@ -101,6 +103,8 @@
 	withdrawals     []recordedWithdrawal // that are remembered, by number
 	droppedLoggedAt time.Time            // when withdrawals that were forgotten early were logged
 	interference    map[imagePair]time.Time
+	allowances      map[definer.WorkspaceName]*allowance
+	outlooks        map[definer.PoolName]*outlook
 	workspaces      map[definer.WorkspaceName]*workspace // declared, or with jobs or runs left
 	formerStrays    []formerStray
 	keyring         Keyring
@@ -143,8 +147,9 @@
 	// WithdrawalsDropped counts withdrawals that were forgotten early, as there were too many.
 	WithdrawalsDropped int
 	FailedRuns         FailedRuns
-	Unauthorized       int // calls without a valid key
-	Forbidden          int // calls for jobs of other workspaces
+	Rejections         []Rejection // submissions that were rejected for want of room
+	Unauthorized       int         // calls without a valid key
+	Forbidden          int         // calls for jobs of other workspaces
 }
 
 // FailedRuns are numbers of failed runs of tasks that aren't long-running.
@@ -155,11 +160,13 @@
 
 // JobEnd describes an ended job.
 type JobEnd struct {
-	Queue    definer.QueueName
-	State    tracker.JobState
-	Duration time.Duration   // since its acceptance
-	Waits    []time.Duration // for each step, until all of its tasks were placed
-	Late     bool            // it missed the objective derived from the declared run times
+	Queue definer.QueueName
+	// Workspace is that of the job; empty: none, or workspaces are not declared.
+	Workspace definer.WorkspaceName
+	State     tracker.JobState
+	Duration  time.Duration   // since its acceptance
+	Waits     []time.Duration // for each step, until all of its tasks were placed
+	Late      bool            // it missed the objective derived from the declared run times
 }
 
 // Load is the size of what a leader manages.
@@ -193,7 +200,7 @@
 	l.LongestOutage = p.longestOutage(now)
 	l.Untracked = len(p.UntrackedTasks())
 	l.Withdrawals = p.State.Withdrawals()
-	l.Workspaces = p.workspaceLoads()
+	l.Workspaces = p.workspaceLoads(now)
 	return l
 }
 
@@ -222,6 +229,8 @@
 	p.upkeep = newUpkeep()
 	p.recoverWithdrawals(now)
 	p.interference = make(map[imagePair]time.Time)
+	p.allowances = make(map[definer.WorkspaceName]*allowance)
+	p.outlooks = make(map[definer.PoolName]*outlook)
 	p.workspaces, p.formerStrays = make(map[definer.WorkspaceName]*workspace), nil
 	p.refreshLimits()
 	p.scans = make(map[definer.PoolName]*poolScan)
