--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -115,6 +115,8 @@
 	endangered      []*step                        // see refreshEndangered
 	endangeredRuns  map[*step]int                  // the runs that each of them may lose
 	holders         int                            // steps for which that pass holds capacity
+	longCalls       int                            // pending calls of the licensing service that count as long
+	sought          map[definer.PoolName]*sought   // in the current pass
 	proxiesFull     bool                           // no proxy accepts another ticket request in this pass
 	passDue         time.Time                      // no placement before
 	dirty           bool                           // placement has to run again
@@ -223,6 +225,7 @@
 	p.steps = make(map[definer.StepID]*step)
 	p.jobs = make(map[definer.JobID]*job)
 	p.recurring = make(map[definer.JobID]bool)
+	p.longCalls, p.sought = 0, make(map[definer.PoolName]*sought)
 	p.licenceProxies = make(map[LicenceProxyID]*licenceProxy)
 	p.ticketRequests = make(map[TicketRequestID]*ticketRequest)
 	p.estimateBiases = make(map[definer.QueueName]*estimateBias)
--- a/internal/workflow/planner/pool_scan.go
+++ b/internal/workflow/planner/pool_scan.go
@@ -29,6 +29,7 @@
 // beginPass discards the results of the previous pass.
 func (p *Planner) beginPass() {
 	clear(p.scans)
+	clear(p.sought)
 	p.proxiesFull = false
 }
 
--- /dev/null
+++ b/internal/workflow/planner/ticket_load.go
@@ -0,0 +1,72 @@
+package planner
+
+import (
+	"time"
+
+	"masticroad/internal/control/registrar"
+	"masticroad/internal/workflow/definer"
+)
+
+// This file divides the calls to the licensing service while more steps wait than there is
+// room for. The service handles one call at a time for each daemon, and the calls of some
+// queues take twenty times as long as those of others. The load that it answers: batch steps
+// that wait in a full pool all ask for the same few targets, again whenever their tickets
+// expire, so that urgent steps wait for calls although there is room for them.
+//
+// Long calls go to idle daemons only, and leave some daemons to short ones. Steps make long
+// calls in the order of their placement, up to the capacity that is free or becomes free
+// while their tickets are valid, and then for full targets too, so that one call serves
+// several ends of runs. It applies while a document declares workspaces.
+
+const (
+	// longCall is the declared duration above which a call counts as long: urgent steps
+	// behind one would wait for a good part of their objective.
+	longCall = 100 * time.Millisecond
+	// shortCallShare is the part of the daemons that is left to short calls.
+	shortCallShare = 4
+)
+
+// sought is the capacity that a pass has found to be sought with tickets.
+type sought struct {
+	room  amount // free, or released while a ticket is valid
+	taken amount // by the steps that were placed before, in order
+}
+
+func isLongCall(l definer.Licence) bool { return l.BaseLatency > longCall }
+
+// mayCallLong reports whether a daemon takes a long call.
+func (p *Planner) mayCallLong(proxy *licenceProxy, now Moment) bool {
+	return !proxy.busyUntil.After(now.Monotonic) && p.longCalls < len(p.licenceProxies)-len(p.licenceProxies)/shortCallShare
+}
+
+// soughtOf returns what is sought in a pool, for steps whose tickets are valid for a while.
+func (p *Planner) soughtOf(pl *pool, validity time.Duration, now Moment) *sought {
+	x := p.sought[pl.name]
+	if x != nil {
+		return x
+	}
+	x = &sought{}
+	out := p.outlookOf(pl.name, now)
+	for _, f := range out.flows {
+		x.room.add(f.released, validity.Seconds())
+	}
+	for _, t := range pl.targets {
+		if t.schedulable(now) {
+			x.room.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
+		}
+	}
+	p.sought[pl.name] = x
+	return x
+}
+
+// seek counts the tasks of a step that wait, and reports whether the room sufficed for the
+// first of them.
+func (x *sought) seek(s *step, tasks int) bool {
+	need := amountOf(s.def.Charge(), 1)
+	fits := true
+	for i := range need {
+		fits = fits && (need[i] == 0 || x.taken[i]+need[i] <= x.room[i])
+	}
+	x.taken.add(need, float64(tasks))
+	return fits
+}
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -41,6 +41,7 @@
 	targets  []tracker.TargetID
 	proxy    *licenceProxy
 	deadline time.Time
+	long     bool // it counts in Planner.longCalls
 	overdue  bool // the step may send another request; a late answer is still used
 }
 
@@ -77,6 +78,11 @@
 
 // requestTickets calls the licensing service for a step that waits for tickets.
 func (p *Planner) requestTickets(s *step, pl *pool, tasks int, now Moment) {
+	l := s.job.rec.Queue.Licence
+	long := p.divides() && isLongCall(l) && !s.def.LongRunning
+	if long && !p.soughtOf(pl, l.TicketValidity-ticketMargin, now).seek(s, tasks) {
+		return
+	}
 	if s.pendingRequest != 0 || p.proxiesFull || now.Monotonic.Before(s.requestAfter) {
 		return
 	}
@@ -85,6 +91,9 @@
 		p.proxiesFull = true // a proxy will become free before its last answer arrives
 		return
 	}
+	if long && !p.mayCallLong(proxy, now) {
+		return
+	}
 	named := p.candidates(s, pl, tasks, now)
 	if len(named) == 0 {
 		named = p.preemptionTargets(s, pl, tasks, now)
@@ -92,7 +101,6 @@
 	if len(named) == 0 {
 		return
 	}
-	l := s.job.rec.Queue.Licence
 	cost := l.BaseLatency + time.Duration(len(named))*l.LatencyPerTarget
 	begin := proxy.busyUntil
 	if begin.Before(now.Monotonic) {
@@ -101,7 +109,10 @@
 	proxy.busyUntil = begin.Add(cost)
 	proxy.calls++
 	p.lastRequest++
-	a := &ticketRequest{id: p.lastRequest, step: s, targets: named, proxy: proxy, deadline: proxy.busyUntil.Add(requestMargin + 2*p.lag.present(now.Monotonic))}
+	if long {
+		p.longCalls++
+	}
+	a := &ticketRequest{id: p.lastRequest, step: s, long: long, targets: named, proxy: proxy, deadline: proxy.busyUntil.Add(requestMargin + 2*p.lag.present(now.Monotonic))}
 	p.ticketRequests[a.id] = a
 	s.pendingRequest = a.id
 	p.Counters.TicketRequests++
@@ -145,7 +156,7 @@
 		n = max(missing*targetsPerTask, minTargetsPerRequest)
 	}
 	named := append(known, bestOptions(unknown, n)...)
-	if s.holding {
+	if s.holding || p.divides() && isLongCall(s.job.rec.Queue.Licence) && len(named) < waiting+n {
 		named = append(named, p.fullCandidates(s, pl, waiting, now)...)
 	}
 	return idsOf(named[:min(len(named), maxTargetsPerRequest)])
@@ -230,6 +241,9 @@
 func (p *Planner) removeRequest(a *ticketRequest) {
 	delete(p.ticketRequests, a.id)
 	a.proxy.calls--
+	if a.long {
+		p.longCalls--
+	}
 }
 
 func (p *Planner) failRequest(a *ticketRequest, now Moment) {
