--- a/internal/daemon/coordinator/load.go
+++ b/internal/daemon/coordinator/load.go
@@ -37,6 +37,6 @@
 	w := &c.work
 	c.Log.Info("leader load", "rounds", w.rounds, "busy", w.busy.Milliseconds(), "longest", w.longest.Milliseconds(), "lag", l.Lag.Milliseconds(), "calls", w.calls, "orders", w.orders,
 		"polls", w.polls, "tickets", w.tickets, "queued", len(c.inputs), "inflight", len(c.inflight), "jobs", l.Jobs, "waiting", l.Waiting,
-		"runs", l.Running, "requests", l.TicketRequests, "silent", l.Unresponsive)
+		"runs", l.Running, "requests", l.TicketRequests, "silent", l.Unresponsive, "cpu", l.UsedCPU, "memory", l.UsedMemory)
 	c.work = work{}
 }
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -179,7 +179,9 @@
 	LongestOutage time.Duration
 	Untracked     int // tasks of started steps that neither have a run nor wait for one
 	Withdrawals   int // cancellations of unknown jobs that are remembered
-	Workspaces    []WorkspaceLoad
+	// UsedCPU and UsedMemory are what runs occupy of the targets that answer, in percent.
+	UsedCPU, UsedMemory int
+	Workspaces          []WorkspaceLoad
 	// Lag is how late this leader handles what has arrived; timeouts allow for it.
 	Lag time.Duration
 }
@@ -190,15 +192,19 @@
 	for _, s := range p.steps {
 		l.Waiting += len(s.waiting)
 	}
+	var used, capacity registrar.Need
 	for _, t := range p.targets {
 		l.Running += len(t.runs)
-		if !t.responsive {
+		if t.responsive {
+			used, capacity = used.Plus(t.used), capacity.Plus(t.rec.Capacity)
+		} else {
 			l.Unresponsive++
 		}
 		if now.Monotonic.Before(t.health.quarantinedUntil) {
 			l.Quarantined++
 		}
 	}
+	l.UsedCPU, l.UsedMemory = percentOf(used.CPU, capacity.CPU), percentOf(used.Memory, capacity.Memory)
 	l.LongestOutage = p.longestOutage(now)
 	l.Untracked = len(p.UntrackedTasks())
 	l.Withdrawals = p.State.Withdrawals()
@@ -206,6 +212,10 @@
 	return l
 }
 
+func percentOf[T registrar.MilliCPU | registrar.MiB](part, whole T) int {
+	return int(100 * part / max(whole, 1))
+}
+
 // LogRecord is a log record about a decision.
 type LogRecord struct {
 	Message string
