--- a/internal/workflow/planner/admission.go
+++ b/internal/workflow/planner/admission.go
@@ -147,7 +147,7 @@
 		return
 	}
 	f.waiting[worth][slackBin(s.latestStart.Sub(now.Monotonic))].add(amountOf(s.def.Charge(), float64(len(s.waiting))), 1)
-	deadline := s.latestStart.Add(s.job.criticalPaths[s.id.Step])
+	deadline := s.latestStart.Add(s.job.expected.paths[s.id.Step])
 	o := s.job.rec.Occurrences[s.id.Occurrence]
 	if o == nil || s.job.rec.Def == nil {
 		return
@@ -155,7 +155,7 @@
 	for i := range o.Steps {
 		def := &s.job.rec.Def.Steps[i]
 		if isFirstDependency(def, s.id.Step) && !def.LongRunning {
-			slack := deadline.Add(-s.job.criticalPaths[i]).Sub(now.Monotonic)
+			slack := deadline.Add(-s.job.expected.paths[i]).Sub(now.Monotonic)
 			f.waiting[worth][slackBin(slack)].add(amountOf(def.Charge(), float64(o.Steps[i].TasksLeft)), 1)
 		}
 	}
@@ -216,7 +216,7 @@
 }
 
 func (p *Planner) demandOf(q *definer.Queue, workspace definer.WorkspaceName, def *definer.Job) demand {
-	d := demand{queue: q, workspace: workspace, paths: criticalPathsOf(def)}
+	d := demand{queue: q, workspace: workspace, paths: p.expectedPaths(q, def)}
 	d.objective = objectiveOf(q, d.paths)
 	for i := range def.Steps {
 		if s := &def.Steps[i]; len(s.DependsOn) == 0 {
@@ -227,7 +227,7 @@
 	for _, c := range d.paths {
 		longest = max(longest, c)
 	}
-	d.chain, d.slack = p.estimateBiases[q.Name].adjust(longest), d.objective-longest
+	d.chain, d.slack = longest, d.objective-longest
 	return d
 }
 
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -19,7 +19,8 @@
 	id            definer.JobID
 	workspace     *workspace      // nil: none
 	criticalPaths []time.Duration // longest time from the start of each step to the end of the job
-	objective     time.Duration   // in which the job should be done
+	expected      expectation
+	longestRuns   []time.Duration // of each step that is done
 	deadline      time.Time       // objective of occurrence 0
 	excess        bool            // its workspace was not entitled to it when it was accepted
 	acceptedAt    time.Time       // by this leader or an earlier one
@@ -163,9 +164,8 @@
 		j.estimates = append(j.estimates, rec.Def.Steps[i].Estimate)
 	}
 	age := max(time.Duration(now.Wall-rec.Accepted)*time.Millisecond, 0)
-	j.objective = objectiveOf(&rec.Queue, j.criticalPaths)
-	j.deadline = now.Monotonic.Add(j.objective - age)
 	j.acceptedAt, j.idleSince = now.Monotonic.Add(-age), now.Monotonic
+	p.reviseObjective(j)
 	p.jobs[rec.ID] = j
 	if rec.OccurrencesStarted < rec.Def.Occurrences() && !rec.State.Ended() {
 		p.recurring[rec.ID] = true
@@ -185,9 +185,18 @@
 // criticalPathsOf returns for each step the longest time from its start to the end
 // of the job, according to the declared estimates.
 func criticalPathsOf(def *definer.Job) []time.Duration {
+	times := make([]time.Duration, len(def.Steps))
+	for i := range times {
+		times[i] = def.Steps[i].Estimate
+	}
+	return longestPaths(def, times)
+}
+
+// longestPaths is criticalPathsOf for other times of the steps.
+func longestPaths(def *definer.Job, times []time.Duration) []time.Duration {
 	out := make([]time.Duration, len(def.Steps))
 	for i := len(def.Steps) - 1; i >= 0; i-- {
-		out[i] += def.Steps[i].Estimate
+		out[i] += times[i]
 		for _, d := range def.Steps[i].DependsOn {
 			out[d] = max(out[d], out[i])
 		}
@@ -244,7 +253,7 @@
 	s := &step{
 		id: id, def: def, rec: rec, job: j, pool: j.rec.Queue.Pool, priority: j.rec.Queue.Priority, waitingSince: now.Monotonic,
 	}
-	s.latestStart = p.stepDeadline(j, id, now).Add(-j.criticalPaths[id.Step])
+	s.latestStart = p.stepDeadline(j, id, now).Add(-j.expected.paths[id.Step])
 	if def.Gang {
 		s.brokenBefore = rec.LatestBrokenRun()
 	}
@@ -271,7 +280,7 @@
 // stepDeadline returns the time by which the step's occurrence should be done.
 func (p *Planner) stepDeadline(j *job, id definer.StepID, now Moment) time.Time {
 	if due := j.rec.Def.Due(id.Occurrence); due != 0 {
-		return now.Monotonic.Add(time.Duration(due-now.Wall)*time.Millisecond + p.objective(j))
+		return now.Monotonic.Add(time.Duration(due-now.Wall)*time.Millisecond + j.expected.objective)
 	}
 	return j.deadline
 }
@@ -328,6 +337,8 @@
 func (p *Planner) completeStep(s *step, now Moment) {
 	p.dropStep(s)
 	j := s.job
+	p.recordLongestRun(s)
+	p.reviseObjective(j)
 	for i := range s.rec.Tasks {
 		p.stopTask(j, s.id.Task(i), "step is done", now)
 	}
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -99,6 +99,7 @@
 	ticketRequests  map[TicketRequestID]*ticketRequest
 	lastRequest     TicketRequestID
 	estimateBiases  map[definer.QueueName]*estimateBias
+	stepBiases      map[definer.QueueName]*estimateBias // of the longest run of a step
 	upkeep          upkeep
 	withdrawals     []recordedWithdrawal // that are remembered, by number
 	droppedLoggedAt time.Time            // when withdrawals that were forgotten early were logged
@@ -239,6 +240,7 @@
 	p.licenceProxies = make(map[LicenceProxyID]*licenceProxy)
 	p.ticketRequests = make(map[TicketRequestID]*ticketRequest)
 	p.estimateBiases = make(map[definer.QueueName]*estimateBias)
+	p.stepBiases = make(map[definer.QueueName]*estimateBias)
 	p.upkeep = newUpkeep()
 	p.recoverWithdrawals(now)
 	p.interference = make(map[imagePair]time.Time)
--- a/internal/workflow/planner/shares.go
+++ b/internal/workflow/planner/shares.go
@@ -84,12 +84,12 @@
 	if s.def.LongRunning {
 		return inTime
 	}
-	path, bias := s.job.criticalPaths[s.id.Step], p.estimateBiases[s.job.rec.Queue.Name]
+	path := s.job.expected.paths[s.id.Step]
 	deadline := s.latestStart.Add(path)
-	objective := float64(s.job.objective)
+	objective := float64(s.job.expected.objective)
 	out := inTime
 	switch {
-	case now.Monotonic.Add(bias.adjust(path)).After(deadline.Add(time.Duration(objective * (lateFactor*doubtFactor - 1)))):
+	case now.Monotonic.Add(path).After(deadline.Add(time.Duration(objective * (lateFactor*doubtFactor - 1)))):
 		return hopeless
 	case s.latestStart.Before(now.Monotonic):
 		out = late
