--- a/internal/workflow/planner/admission.go
+++ b/internal/workflow/planner/admission.go
@@ -216,8 +216,8 @@
 }
 
 func (p *Planner) demandOf(q *definer.Queue, workspace definer.WorkspaceName, def *definer.Job) demand {
-	d := demand{queue: q, workspace: workspace, paths: p.expectedPaths(q, def)}
-	d.objective = objectiveOf(q, d.paths)
+	x := p.expectNew(q, def)
+	d := demand{queue: q, workspace: workspace, paths: x.paths, objective: x.objective}
 	for i := range def.Steps {
 		if s := &def.Steps[i]; len(s.DependsOn) == 0 {
 			d.first.add(amountOf(s.Charge(), float64(s.Count)), 1)
--- a/internal/workflow/planner/paths.go
+++ b/internal/workflow/planner/paths.go
@@ -20,6 +20,20 @@
 	objective time.Duration   // in which the job should be done
 }
 
+// stepOverhead is the time of a step besides its runs: tickets, commits, orders, and the
+// report of its end.
+const stepOverhead = 150 * time.Millisecond
+
+// expectationOf returns what is expected of a job whose steps take the given times.
+func expectationOf(q *definer.Queue, def *definer.Job, times []time.Duration) expectation {
+	x := expectation{objective: objectiveOf(q, longestPaths(def, times))}
+	for i := range times {
+		times[i] += stepOverhead
+	}
+	x.paths = longestPaths(def, times)
+	return x
+}
+
 // expect returns what is expected of a job of which the longest runs of some steps are known.
 func (p *Planner) expect(j *job) expectation {
 	if !p.divides() {
@@ -33,17 +47,16 @@
 			times[i] = j.longestRuns[i]
 		}
 	}
-	paths := longestPaths(j.rec.Def, times)
-	return expectation{paths, objectiveOf(&j.rec.Queue, paths)}
+	return expectationOf(&j.rec.Queue, j.rec.Def, times)
 }
 
-// expectedPaths returns the expected times from the start of each step of a new job to its end.
-func (p *Planner) expectedPaths(q *definer.Queue, def *definer.Job) []time.Duration {
+// expectNew returns what is expected of a new job.
+func (p *Planner) expectNew(q *definer.Queue, def *definer.Job) expectation {
 	times := make([]time.Duration, len(def.Steps))
 	for i := range times {
 		times[i] = p.stepBiases[q.Name].adjust(def.Steps[i].Estimate)
 	}
-	return longestPaths(def, times)
+	return expectationOf(q, def, times)
 }
 
 // reviseObjective brings the objective of a job up to date with what is expected of it.
