--- a/internal/workflow/planner/paths.go
+++ b/internal/workflow/planner/paths.go
@@ -36,7 +36,7 @@
 
 // expect returns what is expected of a job of which the longest runs of some steps are known.
 func (p *Planner) expect(j *job) expectation {
-	if !p.divides() {
+	if !p.divides() || p.without(WithoutRevision) {
 		return expectation{j.criticalPaths, objectiveOf(&j.rec.Queue, j.criticalPaths)}
 	}
 	bias := p.stepBiases[j.rec.Queue.Name]
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -62,6 +62,8 @@
 	WithoutWorkspaceLimits                       // workspaces may exceed their limits
 	WithoutShares                                // pools are not divided among workspaces
 	WithoutAdmission                             // jobs that would end too late are accepted
+	WithoutCallDivision                          // long calls to the licensing service are made like short ones
+	WithoutRevision                              // objectives and latest starts follow the declared run times
 )
 
 func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
--- a/internal/workflow/planner/ticket_load.go
+++ b/internal/workflow/planner/ticket_load.go
@@ -32,6 +32,9 @@
 	taken amount // by the steps that were placed before, in order
 }
 
+// dividesCalls reports whether calls to the licensing service are divided.
+func (p *Planner) dividesCalls() bool { return p.divides() && !p.without(WithoutCallDivision) }
+
 func isLongCall(l definer.Licence) bool { return l.BaseLatency > longCall }
 
 // mayCallLong reports whether a daemon takes a long call.
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -79,7 +79,7 @@
 // requestTickets calls the licensing service for a step that waits for tickets.
 func (p *Planner) requestTickets(s *step, pl *pool, tasks int, now Moment) {
 	l := s.job.rec.Queue.Licence
-	long := p.divides() && isLongCall(l) && !s.def.LongRunning
+	long := p.dividesCalls() && isLongCall(l) && !s.def.LongRunning
 	if long && !p.soughtOf(pl, l.TicketValidity-ticketMargin, now).seek(s, tasks) {
 		return
 	}
@@ -156,7 +156,7 @@
 		n = max(missing*targetsPerTask, minTargetsPerRequest)
 	}
 	named := append(known, bestOptions(unknown, n)...)
-	if s.holding || p.divides() && isLongCall(s.job.rec.Queue.Licence) && len(named) < waiting+n {
+	if s.holding || p.dividesCalls() && isLongCall(s.job.rec.Queue.Licence) && len(named) < waiting+n {
 		named = append(named, p.fullCandidates(s, pl, waiting, now)...)
 	}
 	return idsOf(named[:min(len(named), maxTargetsPerRequest)])
