--- a/internal/workflow/planner/bench_test.go
+++ b/internal/workflow/planner/bench_test.go
@@ -53,6 +53,21 @@
 		func(planner.Answer) {}, s.now)
 }
 
+// declareWorkspaces puts the present document into force with a number of workspaces. Jobs have none.
+func (s *harness) declareWorkspaces(n int) {
+	if n == 0 {
+		return
+	}
+	d := *s.p.State.Document
+	d.Version++
+	d.Queues = slices.Clone(d.Queues)
+	d.Queues[0].Anonymous = true
+	for i := range n {
+		d.Workspaces = append(d.Workspaces, definer.Workspace{Name: definer.WorkspaceName(fmt.Sprint("w", i)), Weight: 2})
+	}
+	s.p.Put(&d, func(planner.Answer) {}, s.now)
+}
+
 // BenchmarkRound measures a round in which one target answers a poll and one job is
 // submitted while others wait.
 func BenchmarkRound(b *testing.B) {
@@ -60,14 +75,18 @@
 		name         string
 		steps, tasks int
 		licensed     bool
+		workspaces   int
 	}{
-		{"idle", 0, 0, false},
-		{"tickets=200x10", 200, 10, true},
-		{"room=200x10", 200, 10, false},
-		{"room=1000x10", 1000, 10, false},
+		{"idle", 0, 0, false, 0},
+		{"tickets=200x10", 200, 10, true, 0},
+		{"room=200x10", 200, 10, false, 0},
+		{"room=1000x10", 1000, 10, false, 0},
+		{"room=200x10,workspaces", 200, 10, false, 20},
+		{"room=1000x10,workspaces", 1000, 10, false, 20},
 	} {
 		b.Run(x.name, func(b *testing.B) {
 			s := loadedHarness(b, x.steps, x.tasks, x.licensed)
+			s.declareWorkspaces(x.workspaces)
 			poll := &planner.PollOrder{To: planner.Destination{Target: targetID(1), Incarnation: 1, Token: 1 << 16}}
 			var took []time.Duration
 			id := definer.JobID(1 << 40)
--- a/internal/workflow/planner/shares.go
+++ b/internal/workflow/planner/shares.go
@@ -285,7 +285,8 @@
 	}
 }
 
-// spareOf returns the free capacity of a pool beyond what steps wait for.
+// spareOf returns the free capacity of a pool beyond what steps wait for. Long-running steps
+// don't count: what they can't have may be of no use to them for ever.
 func (p *Planner) spareOf(name definer.PoolName, waiting []*step, now Moment) *amount {
 	spare := &amount{}
 	if pl := p.pools[name]; pl != nil {
@@ -296,7 +297,7 @@
 		}
 	}
 	for _, s := range waiting {
-		if s.pool == name && p.withinLimit(s) && !p.isHomeless(s) {
+		if s.pool == name && !s.def.LongRunning && p.withinLimit(s) && !p.isHomeless(s) {
 			spare.add(amountOf(s.def.Charge(), float64(len(s.waiting))), -1)
 		}
 	}
