--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -40,6 +40,7 @@
 // place starts the waiting tasks for which there is capacity.
 func (p *Planner) place(now Moment) {
 	p.beginPass()
+	p.passes++
 	p.releaseHolds()
 	for _, s := range p.stepsToRestore(now) {
 		if s.def.Gang {
@@ -94,7 +95,11 @@
 // started.
 func (p *Planner) placeTasks(s *step, limit int, now Moment) int {
 	pl := p.pools[s.pool]
-	if pl == nil || !p.withinLimit(s) {
+	if pl == nil {
+		return 0
+	}
+	if !p.withinLimit(s) {
+		p.prepareStart(s, pl, now)
 		return 0
 	}
 	s.rack = p.requiredRack(s, pl, now)
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -103,6 +103,7 @@
 	interference    map[imagePair]time.Time
 	workspaces      map[definer.WorkspaceName]*workspace // declared, or with jobs or runs left
 	formerStrays    []formerStray
+	passes          uint64 // of placement
 	keyring         Keyring
 	slots           slot                           // taken so far
 	freeSlots       []slot                         // of removed targets
--- a/internal/workflow/planner/workspaces.go
+++ b/internal/workflow/planner/workspaces.go
@@ -20,6 +20,8 @@
 	name  definer.WorkspaceName
 	usage registrar.Need
 	limit registrar.Need // 0: none, for each resource
+	// preparedIn is the newest pass in which a step at the limit requested tickets.
+	preparedIn uint64
 }
 
 // formerStray is a stray run of an incarnation that was replaced without proof of its end.
@@ -115,6 +117,21 @@
 	return w.room(s.def.Need, ending)
 }
 
+// prepareStart requests tickets for the first step of a workspace in a pass that finds the workspace at its limit, so
+// that a start follows the next end at once. Other steps of it do without, as the licensing service is shared.
+func (p *Planner) prepareStart(s *step, pl *pool, now Moment) {
+	w := s.job.workspace
+	if w.preparedIn == p.passes {
+		return
+	}
+	w.preparedIn = p.passes
+	s.rack = p.requiredRack(s, pl, now)
+	p.findCapacity(s, pl, min(len(s.waiting), preparedTasks), now)
+}
+
+// preparedTasks is for how many of its tasks a step at the limit has tickets: about as many as end between two passes.
+const preparedTasks = 4
+
 // room returns how often a need fits into what is left of the limit once runs with that need
 // have ended.
 func (w *workspace) room(need registrar.Need, ending int) int {
--- a/internal/workflow/planner/workspaces_test.go
+++ b/internal/workflow/planner/workspaces_test.go
@@ -339,6 +339,56 @@
 	c.Check(s.usage("shop") < cpus(6).CPU, quicktest.IsTrue)
 }
 
+// Guards against a workspace at its limit that takes the calls to the licensing service from others, and whose starts
+// wait for an answer of it.
+func TestOneStepAtTheLimitKeepsTickets(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 3)
+	s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second, Licence: slowLicence})
+	s.putWorkspaces(shop("shop", registrar.Need{CPU: 2000}))
+	s.p.AddLicenceProxy("p", s.now)
+	s.p.AddLicenceProxy("p2", s.now)
+	answer := func() (asked int) {
+		for _, a := range s.take(func(a planner.Action) bool { return a.TicketRequest != nil }) {
+			asked++
+			r := &planner.TicketReport{ID: a.TicketRequest.ID, Answered: true, Received: s.now.Monotonic, Admitted: make(map[tracker.TargetID]string)}
+			for _, id := range a.TicketRequest.Targets {
+				r.Admitted[id] = "ticket"
+			}
+			s.p.TicketsReported(r, s.now)
+		}
+		s.plan()
+		return asked
+	}
+	for id := range definer.JobID(4) {
+		c.Assert(s.post(prefix, id+1, "shop-1", definer.Step{Count: 2, Need: cpus(1), Estimate: time.Hour}), quicktest.Equals, planner.Accepted)
+	}
+	var running []row
+	play := func(passes int) (asked int) {
+		for range passes {
+			asked += answer()
+			for _, o := range s.starts() {
+				s.acceptStart(o)
+				running = append(running, row{target: o.To.Target, task: o.Task, number: 1, percent: 1})
+			}
+			s.answerPolls(running...)
+			s.advance(200 * time.Millisecond)
+		}
+		return asked
+	}
+	play(10)
+	c.Assert(running, quicktest.HasLen, 2)
+	asked := play(50) // 10 s, in which tickets expire four times
+	c.Check(asked > 2 && asked < 20, quicktest.IsTrue, quicktest.Commentf("%d requests, and 30 if all three steps keep tickets", asked))
+	answer()
+	s.starts()
+	end := running[0]
+	end.how = tracker.EndDone
+	s.answerPolls(end, running[1])
+	s.plan()
+	c.Check(s.starts(), quicktest.HasLen, 1, quicktest.Commentf("without another answer"))
+}
+
 // Guards against steps at the limit of their workspace that take targets from others in vain.
 func TestStepsAtTheLimitPreemptNothingAndHoldNothing(t *testing.T) {
 	c := quicktest.New(t)
