--- a/internal/load/simulator/simulator.go
+++ b/internal/load/simulator/simulator.go
@@ -352,12 +352,26 @@
 		gap, idle := s.audit.Gaps(c.id)
 		k.LongestGap, k.LongestIdle = max(k.LongestGap, gap), max(k.LongestIdle, idle)
 	}
+	s.checkCharges()
 	if s.leader != nil {
 		s.Result.Counters = s.leader.planner.Counters
 	}
 	s.Result.Problems = s.audit.Problems
 }
 
+// checkCharges checks that nothing is charged to workspaces once all jobs have ended: what is never released would keep
+// them from starting anything.
+func (s *Simulation) checkCharges() {
+	if s.leader == nil || len(s.audit.Problems) > 0 {
+		return
+	}
+	for _, w := range s.leader.planner.Load(s.moment()).Workspaces {
+		if w.Usage != (registrar.Need{}) {
+			s.audit.Problems = append(s.audit.Problems, fmt.Sprintf("workspace %s is charged with %s at the end", w.Name, w.Usage))
+		}
+	}
+}
+
 func (s *Simulation) sortedJobs() []*client {
 	out := make([]*client, 0, len(s.jobs))
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
