--- a/internal/workflow/planner/workspaces_test.go
+++ b/internal/workflow/planner/workspaces_test.go
@@ -190,6 +190,17 @@
 	c.Check(s.starts(), quicktest.HasLen, 3)
 }
 
+// Guards against a workspace that stays charged with members for which there was room while there was none for others.
+func TestGangThatDoesNotStartIsNotCharged(t *testing.T) {
+	c := quicktest.New(t)
+	s := newShop(c, 1, 100)
+	gang := tasks(3, 8)
+	gang.Gang = true
+	c.Assert(s.begin(1, gang), quicktest.HasLen, 0)
+	s.advance(time.Second)
+	c.Check(s.usage("shop"), quicktest.Equals, registrar.MilliCPU(0))
+}
+
 // Targets aren't charged for processors of such tasks, and workspaces are.
 func TestBestEffortTasksAreChargedWithTheirProcessors(t *testing.T) {
 	c := quicktest.New(t)
