--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -107,6 +107,7 @@
 	outlooks        map[definer.PoolName]*outlook
 	workspaces      map[definer.WorkspaceName]*workspace // declared, or with jobs or runs left
 	formerStrays    []formerStray
+	passes          uint64 // of placement
 	keyring         Keyring
 	slots           slot                           // taken so far
 	freeSlots       []slot                         // of removed targets
--- a/internal/workflow/planner/workspaces_test.go
+++ b/internal/workflow/planner/workspaces_test.go
@@ -190,6 +190,17 @@
 	c.Check(s.starts(), quicktest.HasLen, 3)
 }
 
+// Guards against a workspace that stays charged with members for which there was room while there was none for others.
+func TestGangThatDoesNotStartIsNotCharged(t *testing.T) {
+	c := quicktest.New(t)
+	s := newShop(c, 1, 100)
+	gang := tasks(3, 8)
+	gang.Gang = true
+	c.Assert(s.begin(1, gang), quicktest.HasLen, 0)
+	s.advance(time.Second)
+	c.Check(s.usage("shop"), quicktest.Equals, registrar.MilliCPU(0))
+}
+
 // Targets aren't charged for processors of such tasks, and workspaces are.
 func TestBestEffortTasksAreChargedWithTheirProcessors(t *testing.T) {
 	c := quicktest.New(t)
@@ -319,6 +330,76 @@
 	c.Check(s.usage("shop"), quicktest.Equals, cpus(8).CPU)
 }
 
+// A target that lists a stray run announces another incarnation, which proves nothing of the former one.
+func TestStrayRunOfAReplacedIncarnationStaysChargedForItsLease(t *testing.T) {
+	c := quicktest.New(t)
+	s := newShop(c, 1, 8)
+	start := s.begin(1, tasks(1, 3))[0]
+	s.acceptStart(start)
+	s.answerPolls(row{target: "t1", task: start.Task, number: 1, percent: 1}, row{target: "t1", task: start.Task, number: 5, percent: 1})
+	c.Assert(s.usage("shop"), quicktest.Equals, cpus(6).CPU)
+	until := s.lapse("t1", start.Deadline)
+	rec := s.record(1)
+	rec.Incarnation = 2
+	s.announce(rec)
+	for s.now.Monotonic.Before(until) {
+		c.Assert(s.usage("shop"), quicktest.Equals, cpus(6).CPU)
+		s.advance(50 * time.Millisecond)
+	}
+	s.advance(10 * time.Second)
+	c.Check(s.usage("shop") < cpus(6).CPU, quicktest.IsTrue)
+}
+
+// Guards against a workspace at its limit that takes the calls to the licensing service from others, and whose starts
+// wait for an answer of it.
+func TestOneStepAtTheLimitKeepsTickets(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 3)
+	s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second, Licence: slowLicence})
+	s.putWorkspaces(shop("shop", registrar.Need{CPU: 2000}))
+	s.p.AddLicenceProxy("p", s.now)
+	s.p.AddLicenceProxy("p2", s.now)
+	answer := func() (asked int) {
+		for _, a := range s.take(func(a planner.Action) bool { return a.TicketRequest != nil }) {
+			asked++
+			r := &planner.TicketReport{ID: a.TicketRequest.ID, Answered: true, Received: s.now.Monotonic, Admitted: make(map[tracker.TargetID]string)}
+			for _, id := range a.TicketRequest.Targets {
+				r.Admitted[id] = "ticket"
+			}
+			s.p.TicketsReported(r, s.now)
+		}
+		s.plan()
+		return asked
+	}
+	for id := range definer.JobID(4) {
+		c.Assert(s.post(prefix, id+1, "shop-1", definer.Step{Count: 2, Need: cpus(1), Estimate: time.Hour}), quicktest.Equals, planner.Accepted)
+	}
+	var running []row
+	play := func(passes int) (asked int) {
+		for range passes {
+			asked += answer()
+			for _, o := range s.starts() {
+				s.acceptStart(o)
+				running = append(running, row{target: o.To.Target, task: o.Task, number: 1, percent: 1})
+			}
+			s.answerPolls(running...)
+			s.advance(200 * time.Millisecond)
+		}
+		return asked
+	}
+	play(10)
+	c.Assert(running, quicktest.HasLen, 2)
+	asked := play(50) // 10 s, in which tickets expire four times
+	c.Check(asked > 2 && asked < 20, quicktest.IsTrue, quicktest.Commentf("%d requests, and 30 if all three steps keep tickets", asked))
+	answer()
+	s.starts()
+	end := running[0]
+	end.how = tracker.EndDone
+	s.answerPolls(end, running[1])
+	s.plan()
+	c.Check(s.starts(), quicktest.HasLen, 1, quicktest.Commentf("without another answer"))
+}
+
 // Guards against steps at the limit of their workspace that take targets from others in vain.
 func TestStepsAtTheLimitPreemptNothingAndHoldNothing(t *testing.T) {
 	c := quicktest.New(t)
