--- a/internal/load/simulator/overload_test.go
+++ b/internal/load/simulator/overload_test.go
@@ -118,15 +118,35 @@
 	quicktest.Check(t, r.builds.Rejected+r.checks.Rejected <= r.builds.Jobs/20, quicktest.IsTrue)
 }
 
+// newFloodSchedule lets one of five workspaces flood a small cell.
+func newFloodSchedule(seed int64, faults simulator.Faults) *simulator.Simulation {
+	s := newSchedule(seed, faults)
+	s.SharedBy = simulator.EqualWorkspaces(5, 14*smallShare)
+	s.Surges = []simulator.Surge{{Workspace: flooder, Factor: 12, From: 3 * time.Second, To: 10 * time.Second}}
+	return s
+}
+
 // Leaders and targets are lost while a workspace floods a small cell. Guards against jobs that
 // run after their rejection, and against accepted ones that never end.
 func TestSchedulesOfFloods(t *testing.T) {
 	for seed := range seeds(12) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			s := newSchedule(seed, simulator.Rough)
-			s.SharedBy = simulator.EqualWorkspaces(5, 14*smallShare)
-			s.Surges = []simulator.Surge{{Workspace: flooder, Factor: 12, From: 3 * time.Second, To: 10 * time.Second}}
+			s := newFloodSchedule(seed, simulator.Rough)
+			s.Run(length)
+			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
+		})
+	}
+}
+
+// All replicas lose power while a workspace floods a small cell, so that many jobs end too late.
+// Guards against a job that waits for 3 s while there is room that others might use.
+func TestHopelessJobsRunWhenThereIsRoom(t *testing.T) {
+	for _, seed := range schedulesOr(48, 93) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newFloodSchedule(seed, outages)
+			s.Licensed = true
 			s.Run(length)
 			quicktest.Assert(t, s.Result.Problems, quicktest.HasLen, 0)
 		})
--- a/internal/workflow/planner/admission.go
+++ b/internal/workflow/planner/admission.go
@@ -343,7 +343,10 @@
 	// limitRetry is the pause after a job that the limit of its workspace rules out. Only an
 	// operator can change that.
 	limitRetry = time.Minute
-	maxRetry   = 2 * time.Minute // a caller that waits longer has given up
+	maxRetry   = 2 * time.Minute // a longer time says no more to a caller
+	// longestPatience is the longest pause after which callers are expected to come back. They
+	// give up within some seconds.
+	longestPatience = 10 * time.Second
 )
 
 // decision is the outcome of the admission of a submission.
@@ -401,7 +404,9 @@
 	room := max(bound-r.chain, least)
 	wait := r.start - room + timeToTake(x.returning, amount{}, r.rate)
 	wait = min(max(wait.Truncate(time.Second)+time.Second, time.Second), maxRetry)
-	x.returning.add(d.first, 1)
+	if wait <= longestPatience {
+		x.returning.add(d.first, 1)
+	}
 	p.recordRejection(q, workspace, reason)
 	out.answer = Answer{Busy, wait, text}
 	out.fields = append(out.fields, "rejected", reason.String(), "objective", d.objective.Milliseconds())
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -150,6 +150,7 @@
 	moves          map[int]int     // moves and copies of each task
 	preemptAt      time.Time       // it may preempt runs from then on
 	rack           string          // required for its next tasks; empty: any
+	deferredAt     time.Time       // it has had room since then that was left to others; zero: it has none
 	typicalTime    time.Duration   // typical run time of a task; 0: unknown
 }
 
--- a/internal/workflow/planner/shares.go
+++ b/internal/workflow/planner/shares.go
@@ -277,16 +277,38 @@
 		need := amountOf(s.def.Charge(), 1)
 		n := left.holds(need, len(s.waiting))
 		if n == 0 || s.def.Gang && n < s.def.Count {
-			continue
+			if !p.deferredTooLong(s, now) {
+				continue
+			}
+			n = len(s.waiting)
 		}
 		before := len(s.waiting)
 		p.placeStep(s, n, now)
-		left.add(need, -float64(before-len(s.waiting)))
+		if started := before - len(s.waiting); started > 0 {
+			left.add(need, -float64(started))
+			s.deferredAt = time.Time{}
+		}
+	}
+}
+
+// deferredTooLong reports whether a step has been kept for long from room that others might use.
+func (p *Planner) deferredTooLong(s *step, now Moment) bool {
+	if !p.hasRoom(s, now) {
+		s.deferredAt = time.Time{}
+		return false
+	}
+	if s.deferredAt.IsZero() {
+		s.deferredAt = now.Monotonic
 	}
+	return now.Monotonic.Sub(s.deferredAt) >= maxDeferral
 }
 
-// spareOf returns the free capacity of a pool beyond what steps wait for. Long-running steps
-// don't count: what they can't have may be of no use to them for ever.
+// maxDeferral bounds the wait of a step for which there is room. Callers may rely on no task
+// waiting for 3 s while there is free capacity; tickets may take as much again.
+const maxDeferral = time.Second
+
+// spareOf returns the free capacity of a pool beyond what steps with room wait for, for tickets
+// as a rule. Steps that no target has room for now don't count: they may have none for long.
 func (p *Planner) spareOf(name definer.PoolName, waiting []*step, now Moment) *amount {
 	spare := &amount{}
 	if pl := p.pools[name]; pl != nil {
@@ -297,13 +319,27 @@
 		}
 	}
 	for _, s := range waiting {
-		if s.pool == name && !s.def.LongRunning && p.withinLimit(s) && !p.isHomeless(s) {
+		if s.pool == name && !s.def.LongRunning && p.withinLimit(s) && p.hasRoom(s, now) {
 			spare.add(amountOf(s.def.Charge(), float64(len(s.waiting))), -1)
 		}
 	}
 	return spare
 }
 
+// hasRoom reports whether a target has room for a waiting task of a step.
+func (p *Planner) hasRoom(s *step, now Moment) bool {
+	pl := p.pools[s.pool]
+	if pl == nil || len(s.waiting) == 0 {
+		return false
+	}
+	for _, t := range p.poolScan(pl, now).withRoom(s.def.Charge()) {
+		if s.def.Charge().FitsIn(t.free()) && (s.def.Label == "" || t.rec.HasLabel(s.def.Label)) {
+			return true
+		}
+	}
+	return false
+}
+
 // holds returns how many times a need fits into a, at most as often as given.
 func (a *amount) holds(need amount, most int) int {
 	for i := range need {
