--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -15,16 +15,29 @@
 // Handle serves a call. It calls reply once, from any goroutine; reply must not
 // block.
 func (c *Coordinator) Handle(ctx context.Context, msg leader.Call, reply func(leader.Reply)) {
+	c.enqueueCall(ctx, &call{Call: msg, reply: reply})
+}
+
+func (c *Coordinator) enqueueCall(ctx context.Context, req *call) {
 	select {
-	case c.inputs <- input{call: &call{msg, reply}}:
+	case c.inputs <- input{call: req}:
 	case <-ctx.Done():
-		reply(leader.Reply{ID: msg.ID, Verdict: planner.Uncertain, Reason: "the daemon ends"})
+		req.refuse("the call did not reach the leader's queue")
 	}
 }
 
 func (c *Coordinator) handleCall(req *call, now planner.Moment) {
+	if req.from != nil && c.streams[req.from.daemon] != req.from {
+		// The daemon may have repeated the call over a newer stream and been answered.
+		req.refuse("the stream was replaced")
+		return
+	}
 	answer := func(a planner.Answer) {
-		req.reply(leader.Reply{ID: req.ID, Verdict: a.Verdict, RetryAfter: a.RetryAfter, Reason: a.Reason})
+		req.answer(leader.Reply{Verdict: a.Verdict, RetryAfter: a.RetryAfter, Reason: a.Reason})
+	}
+	req.repeated = req.Submit != nil && c.Planner.State.Jobs[req.Submit.Job.ID] != nil
+	if req.HasEffect() {
+		c.deciding = append(c.deciding, req)
 	}
 	accepted := func() { answer(planner.Answer{Verdict: planner.Accepted}) }
 	switch {
@@ -39,13 +52,13 @@
 	case req.Put != nil:
 		c.Planner.Put(req.Put, accepted, now)
 	case req.State != nil:
-		c.read(func() { c.replyState(req) }, now)
+		c.read(req, func() { c.replyState(req) }, now)
 	case req.Fetch:
-		c.read(func() { c.replyDocument(req) }, now)
+		c.read(req, func() { c.replyDocument(req) }, now)
 	case req.Wave != nil:
 		c.Planner.PutWave(req.Wave, answer, now)
 	case req.WaveStatus != 0:
-		c.read(func() { c.replyWave(req) }, now)
+		c.read(req, func() { c.replyWave(req) }, now)
 	default:
 		answer(planner.Answer{Verdict: planner.Invalid, Reason: "the call asks for nothing"})
 	}
@@ -58,34 +71,40 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(req.Announce.Target.ID)) // never fails
 	rank := int(h.Sum32() % uint32(max(len(c.Planner.State.Targets), 1)))
-	req.reply(leader.Reply{ID: req.ID, Verdict: planner.Accepted, AtLeader: c.MaxAnnouncers == 0 || rank < c.MaxAnnouncers})
+	req.answer(leader.Reply{Verdict: planner.Accepted, AtLeader: c.MaxAnnouncers == 0 || rank < c.MaxAnnouncers})
+}
+
+// read is a call that waits until a majority has confirmed the leader.
+type read struct {
+	call *call
+	run  func()
 }
 
-// read runs f as a linearizable read: at once while the leader lease is valid,
-// else after a majority has confirmed the leader.
-func (c *Coordinator) read(f func(), now planner.Moment) {
+// read runs f, which answers req, as a linearizable read: at once while the leader
+// lease is valid, else after a majority has confirmed the leader.
+func (c *Coordinator) read(req *call, f func(), now planner.Moment) {
 	if now.Monotonic.Before(c.Node.Status().LeaseUntil) {
 		f()
 		return
 	}
 	c.nextRead++
-	c.reads[c.nextRead] = append(c.reads[c.nextRead], f)
+	c.reads[c.nextRead] = append(c.reads[c.nextRead], read{req, f})
 	c.Node.Read(c.ctx, c.nextRead)
 }
 
 func (c *Coordinator) runReads(id replicator.ReadID) {
-	for _, f := range c.reads[id] {
-		f()
+	for _, r := range c.reads[id] {
+		r.run()
 	}
 	delete(c.reads, id)
 }
 
 func (c *Coordinator) replyState(req *call) {
-	r := leader.Reply{ID: req.ID}
+	r := leader.Reply{}
 	q, rest := c.state.Document.Route(req.State.Host, req.State.Path)
 	if q != nil && rest == "" {
 		r.Verdict, r.IsQueue, r.Pending = planner.Accepted, true, c.Planner.CountPending(q.Name)
-		req.reply(r)
+		req.answer(r)
 		return
 	}
 	job, a := planner.Find(c.state, req.State.Host, req.State.Path)
@@ -93,22 +112,22 @@
 	if job != nil {
 		r.Job = job.State
 	}
-	req.reply(r)
+	req.answer(r)
 }
 
 func (c *Coordinator) replyDocument(req *call) {
 	if c.state.Document == nil {
-		req.reply(leader.Reply{ID: req.ID, Verdict: planner.NotReady, Reason: "no document is in force"})
+		req.answer(leader.Reply{Verdict: planner.NotReady, Reason: "no document is in force"})
 		return
 	}
-	req.reply(leader.Reply{ID: req.ID, Verdict: planner.Accepted, Document: c.state.Document.Source})
+	req.answer(leader.Reply{Verdict: planner.Accepted, Document: c.state.Document.Source})
 }
 
 func (c *Coordinator) replyWave(req *call) {
 	wave := c.state.Waves[req.WaveStatus]
 	if wave == nil {
-		req.reply(leader.Reply{ID: req.ID, Verdict: planner.Unknown, Reason: "no such wave"})
+		req.answer(leader.Reply{Verdict: planner.Unknown, Reason: "no such wave"})
 		return
 	}
-	req.reply(leader.Reply{ID: req.ID, Verdict: planner.Accepted, Completed: wave.Completed()})
+	req.answer(leader.Reply{Verdict: planner.Accepted, Completed: wave.Completed()})
 }
--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -14,7 +14,6 @@
 
 	"masticroad/internal/control/registrar"
 	"masticroad/internal/metrics/meter"
-	"masticroad/internal/peer/leader"
 	"masticroad/internal/state/replicator"
 	"masticroad/internal/workflow/planner"
 	"masticroad/internal/workflow/tracker"
@@ -78,10 +77,13 @@
 	term            registrar.Term
 	noopTerm        registrar.Term
 	steppedDownTerm registrar.Term // newest term in which leadership ended
-	inflight        []planner.Round
+	inflight        []inflightRound
+	proposals       *replicator.Sequence // of the present leadership
+	proposed        int                  // rounds in proposals
+	deciding        []*call              // of the round that is being decided
 	pendingInputs   []input
 	lastRoundAt     time.Time
-	reads           map[replicator.ReadID][]func()
+	reads           map[replicator.ReadID][]read
 	nextRead        replicator.ReadID
 	logBytes        int // bytes of the log since the last snapshot
 	streams         map[planner.LicenceProxyID]*stream
@@ -119,11 +121,6 @@
 	query   func(*tracker.State)
 }
 
-type call struct {
-	leader.Call
-	reply func(leader.Reply)
-}
-
 // Open initializes the coordinator. It must be called before any other method;
 // Run ends when ctx does.
 func (c *Coordinator) Open(ctx context.Context) {
@@ -134,7 +131,7 @@
 	}
 	c.Meter.SetFormat(c.state.Format)
 	c.inputs = make(chan input, inputQueueSize)
-	c.reads = make(map[replicator.ReadID][]func())
+	c.reads = make(map[replicator.ReadID][]read)
 	c.streams = make(map[planner.LicenceProxyID]*stream)
 	c.watchers = make(map[*stream]bool)
 }
@@ -241,7 +238,7 @@
 	if c.leading.Load() && e.Term == c.term && len(c.inflight) > 0 {
 		round := c.inflight[0]
 		c.inflight = c.inflight[1:]
-		c.countEnds(&round)
+		c.countEnds(&round.Round)
 		c.execute(round.AfterCommit)
 	}
 	return nil
@@ -256,7 +253,6 @@
 	if c.status.Role == replicator.Leader && c.status.Term == c.term && !dropped {
 		return
 	}
-	c.Log.Info("leadership lost", "term", c.term, "rounds", len(c.inflight))
 	c.leading.Store(false)
 	c.Meter.Leading(false)
 	c.steppedDownTerm = c.term
@@ -264,13 +260,11 @@
 		// Orders of this term may be in flight, so planning resumes only in a new term.
 		c.Node.StepDown(c.ctx, c.term)
 	}
-	c.inflight = nil
-	c.reads = make(map[replicator.ReadID][]func())
-	for id, s := range c.streams {
-		s.cancel()
-		delete(c.streams, id)
-	}
+	rounds := len(c.inflight)
+	n := c.endCalls()
 	c.rejectPending()
+	c.endStreams()
+	c.Log.Info("leadership lost", "term", c.term, "rounds", rounds, "uncertain", n.uncertain, "not_taken", n.notTaken)
 }
 
 // rejectPending rejects the pending calls, which only a leader can serve, and
@@ -285,7 +279,7 @@
 func (c *Coordinator) rejectInput(in input) {
 	switch {
 	case in.call != nil:
-		in.call.reply(leader.Reply{ID: in.call.ID, Verdict: planner.Uncertain, Reason: "this daemon does not lead"})
+		in.call.refuse("this daemon does not lead")
 	case in.attach != nil:
 		if in.attach.watchOnly {
 			c.addWatcher(in.attach)
@@ -308,6 +302,7 @@
 		return
 	}
 	c.term = c.status.Term
+	c.proposals, c.proposed = &replicator.Sequence{}, 0
 	c.leading.Store(true)
 	c.Meter.Leading(true)
 	c.Planner.State = c.state.Clone()
@@ -369,8 +364,13 @@
 		return
 	}
 	c.founding = false
-	c.inflight = append(c.inflight, planner.Round{Events: round.Events, AfterCommit: round.AfterCommit, Jobs: round.Jobs, FailedRuns: round.FailedRuns})
-	c.Node.Propose(c.ctx, c.term, data)
+	c.proposed++
+	c.inflight = append(c.inflight, inflightRound{
+		Round:  planner.Round{Events: round.Events, AfterCommit: round.AfterCommit, Jobs: round.Jobs, FailedRuns: round.FailedRuns},
+		number: c.proposed, calls: c.deciding,
+	})
+	c.deciding = nil
+	c.Node.ProposeNext(c.ctx, c.proposals, c.term, data)
 }
 
 // countEnds counts the ends of jobs and runs in a committed round. If a leader is lost before
@@ -410,8 +410,11 @@
 		last := &c.inflight[n-1]
 		last.AfterCommit = append(last.AfterCommit, round.AfterCommit...)
 		last.Jobs = append(last.Jobs, round.Jobs...)
+		last.calls = append(last.calls, c.deciding...)
+		c.deciding = nil
 		return
 	}
+	c.deciding = nil
 	c.countEnds(&round)
 	c.execute(round.AfterCommit)
 }
--- a/internal/daemon/coordinator/streams.go
+++ b/internal/daemon/coordinator/streams.go
@@ -82,7 +82,7 @@
 			c.enqueue(input{tickets: &m.Tickets[i]})
 		}
 		for _, k := range m.Calls {
-			c.Handle(ctx, k, func(r leader.Reply) { s.enqueue(&leader.Down{Replies: []leader.Reply{r}}) })
+			c.enqueueCall(ctx, &call{Call: k, from: s, reply: func(r leader.Reply) { s.enqueue(&leader.Down{Replies: []leader.Reply{r}}) }})
 		}
 		if m.Ping {
 			s.enqueue(&leader.Down{})
--- a/internal/daemon/relayer/find.go
+++ b/internal/daemon/relayer/find.go
@@ -23,8 +23,9 @@
 	welcomeTimeout         = 400 * time.Millisecond // to connect and receive the welcome: twenty round trips between regions
 	watchPingInterval      = time.Second            // between pings on a watching stream
 	watchTimeout           = 2500 * time.Millisecond
-	leaderlessTimeout      = 350 * time.Millisecond // without a link to a leader, until other daemons are watched
-	preferredRetryInterval = 10 * time.Second       // on another daemon than the preferred one, until that is tried again
+	leaderlessTimeout      = 350 * time.Millisecond  // without a link to a leader, until other daemons are watched
+	silenceTimeout         = 1500 * time.Millisecond // without an answer, until the replicas count as unreachable: more than a ping interval
+	preferredRetryInterval = 10 * time.Second        // on another daemon than the preferred one, until that is tried again
 )
 
 // leadership is the leader that this daemon knows of.
@@ -48,8 +49,8 @@
 	r.Log.Info("leader changed", "address", address, "term", term)
 	close(r.leaderChanged)
 	r.leaderChanged = make(chan struct{})
-	if r.currentLink != nil && r.currentLink.address != address && address != "" {
-		r.currentLink.cancel()
+	if r.servedLink != nil && r.servedLink.address != address && address != "" {
+		r.servedLink.cancel()
 	}
 }
 
@@ -122,6 +123,7 @@
 	if w == nil {
 		return false
 	}
+	r.noteAnswer()
 	r.applyWelcome(w)
 	go r.cancelWhenLeaderless(ctx, cancel)
 	timeout := time.AfterFunc(watchTimeout, cancel)
@@ -134,6 +136,7 @@
 			return false
 		}
 		timeout.Reset(watchTimeout)
+		r.noteAnswer()
 		if m.Welcome != nil {
 			r.applyWelcome(m.Welcome)
 		}
@@ -177,6 +180,29 @@
 	}
 }
 
+// noteAnswer records that a watched replica has answered.
+func (r *Relayer) noteAnswer() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	if now.Sub(r.answeredAt) > silenceTimeout {
+		r.answeredSince = now
+	}
+	r.answeredAt = now
+}
+
+// noteLeadership records until when this daemon leads.
+func (r *Relayer) noteLeadership(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.Local.Leading() {
+			r.mu.Lock()
+			r.linkLostAt = r.Now()
+			r.mu.Unlock()
+		}
+		sleep(ctx, localCheckInterval)
+	}
+}
+
 func (r *Relayer) applyWelcome(w *leader.Welcome) {
 	if len(w.Members) > 0 {
 		r.mu.Lock()
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -48,25 +49,25 @@
 	pending            map[uint64]*pending
 	nextID             uint64
 	currentLink        *link // nil: no stream to a leader
+	servedLink         *link // whose stream is open; its daemon may have stopped leading
 	members            []string
 	leader             leadership
-	linkLostAt         time.Time // when current became nil
+	linkLostAt         time.Time // when the last leader was heard last, or this daemon stopped leading
+	answeredAt         time.Time // when a watched replica answered last
+	answeredSince      time.Time // see Absence
 	failures           int       // calls not decided in the current second
 	failureWindowStart time.Time
 	leaderChanged      chan struct{} // closed when leader changes
 }
 
-type pending struct {
-	call leader.Call
-	done chan leader.Reply
-	sent bool // may have reached a leader
-}
-
 // link is an open stream to the leader.
 type link struct {
 	address string
-	queue   chan *leader.Up
+	queue   chan item
 	cancel  context.CancelFunc
+	// The relayer's mutex guards these.
+	ended   bool      // nothing is sent over it any more
+	heardAt time.Time // when a message from the leader came last
 }
 
 // Open initializes the relayer. It must be called before any other method.
@@ -78,7 +79,7 @@
 
 // Do forwards a call and waits for its reply, until the caller's context ends.
 // The verdict is Uncertain when the call may have been executed, and NotReady
-// when it provably was not. While there is no leader, calls wait for up to
+// when it provably was not, or has no effect. While there is no leader, calls wait for up to
 // leaderWaitTimeout; after that they are refused at once, so that callers retry
 // when there may be a leader.
 func (r *Relayer) Do(ctx context.Context, call leader.Call) leader.Reply {
@@ -119,46 +120,70 @@
 const maxFailureLinesPerSecond = 50
 
 func (r *Relayer) do(ctx context.Context, call leader.Call) leader.Reply {
-	sent := false
+	taken := false // by a leader, maybe
 	startedAt := r.Now()
 	for {
-		if !sent && r.leaderOverdue() {
-			return noLeader
+		if !taken && r.leaderOverdue() {
+			return r.refuse(&call, "no leader was found")
 		}
-		reply := r.try(ctx, call, &sent)
+		reply := r.try(ctx, call, &taken)
 		switch {
 		case reply.Verdict != planner.Uncertain:
 			return reply
-		case ctx.Err() != nil && !sent:
-			return noLeader
-		case ctx.Err() != nil || sent && r.Now().Sub(startedAt) > uncertainTimeout:
-			return reply
+		case !taken && ctx.Err() != nil:
+			return r.refuse(&call, "no leader took the call in time")
+		case ctx.Err() != nil || taken && r.Now().Sub(startedAt) > uncertainTimeout:
+			return r.unanswered(&call, reply)
 		}
 		sleep(ctx, retryDelay)
 	}
 }
 
-// noLeader is the reply to a call that was not sent to any leader.
-var noLeader = leader.Reply{Verdict: planner.NotReady, RetryAfter: noLeaderRetryAfter, Reason: "no leader was found"}
+// refuse returns the reply to a call that no leader has taken.
+func (r *Relayer) refuse(call *leader.Call, reason string) leader.Reply {
+	return leader.Reply{Verdict: planner.NotReady, NotTaken: true, RetryAfter: r.retryAfter(call), Reason: reason}
+}
+
+// unanswered returns the reply to a call that a leader may have taken. A call without an
+// effect can be refused nevertheless.
+func (r *Relayer) unanswered(call *leader.Call, reply leader.Reply) leader.Reply {
+	if !call.HasEffect() {
+		return r.refuse(call, "no leader answered the query")
+	}
+	reply.NotTaken = false
+	if !r.Ready() {
+		reply.RetryAfter = r.retryAfter(call)
+	}
+	return reply
+}
+
+// retryAfter returns when the caller should come back. Targets and operators repeat their
+// calls at fixed intervals.
+func (r *Relayer) retryAfter(call *leader.Call) time.Duration {
+	if r.Ready() || call.Submit == nil && call.State == nil && call.Cancel == nil {
+		return minRetryAfter
+	}
+	patience := time.Duration(0)
+	if call.Submit != nil {
+		patience = Patience(call.Submit.Job)
+	}
+	return r.absence().RetryAfter(r.Now(), patience, rand.Float64())
+}
 
 // leaderOverdue reports whether this daemon has been without a leader for longer
 // than leaderWaitTimeout.
-func (r *Relayer) leaderOverdue() bool {
-	leading := r.Local != nil && r.Local.Leading()
-	return !leading && r.leaderlessFor() > leaderWaitTimeout
-}
+func (r *Relayer) leaderOverdue() bool { return !r.Ready() && r.absence().Overdue(r.Now()) }
 
-const (
-	// leaderWaitTimeout is how long calls wait for a new leader. An election takes
-	// half of it; a longer absence of a leader may last.
-	leaderWaitTimeout = time.Second
-	// noLeaderRetryAfter is the shortest retry delay that the protocol can express.
-	// Callers retry for only a few seconds in total.
-	noLeaderRetryAfter = time.Second
-	// uncertainTimeout is how long a call that may have reached a leader waits for
-	// its reply. A retry through another daemon may succeed sooner.
-	uncertainTimeout = 1500 * time.Millisecond
-)
+// uncertainTimeout is how long a call that may have reached a leader waits for
+// its reply. A retry through another daemon may succeed sooner.
+const uncertainTimeout = 1500 * time.Millisecond
+
+// absence returns what is known of the absence of a leader.
+func (r *Relayer) absence() Absence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Absence{Since: r.linkLostAt, AnsweredSince: r.answeredSince}
+}
 
 // leaderlessFor returns how long there has been no stream to a leader, 0 while
 // there is one.
@@ -171,19 +196,13 @@
 	return r.Now().Sub(r.linkLostAt)
 }
 
-func (r *Relayer) try(ctx context.Context, call leader.Call, sent *bool) leader.Reply {
+// try sends a call until a leader answers it, and sets taken if one may have taken it.
+func (r *Relayer) try(ctx context.Context, call leader.Call, taken *bool) leader.Reply {
 	if r.Local != nil && r.Local.Leading() {
-		*sent = true
-		return r.doLocal(ctx, call)
+		return r.doLocal(ctx, call, taken)
 	}
-	p := &pending{call: call, done: make(chan leader.Reply, 1)}
-	r.mu.Lock()
-	r.nextID++
-	p.call.ID = r.nextID
-	r.pending[p.call.ID] = p
-	p.sent = r.send(p.call)
-	r.mu.Unlock()
-	defer r.forget(p, sent)
+	p := r.add(call)
+	defer func() { *taken = r.forget(p) || *taken }()
 	startedAt := r.Now()
 	ticker := time.NewTicker(localCheckInterval)
 	defer ticker.Stop()
@@ -197,7 +216,8 @@
 			if r.Local != nil && r.Local.Leading() {
 				return leader.Reply{Verdict: planner.Uncertain, Reason: "this daemon leads now"}
 			}
-			if !r.wasSent(p) && r.leaderOverdue() || r.wasSent(p) && r.Now().Sub(startedAt) > uncertainTimeout {
+			mayBeTaken := *taken || r.mayBeTaken(p)
+			if !mayBeTaken && r.leaderOverdue() || mayBeTaken && r.Now().Sub(startedAt) > uncertainTimeout {
 				return leader.Reply{Verdict: planner.Uncertain, Reason: "no leader answered"}
 			}
 		}
@@ -208,45 +228,19 @@
 // own daemon leads now, and whether the wait for a leader has timed out.
 const localCheckInterval = 100 * time.Millisecond
 
-func (r *Relayer) wasSent(p *pending) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return p.sent
-}
-
-func (r *Relayer) doLocal(ctx context.Context, call leader.Call) leader.Reply {
+func (r *Relayer) doLocal(ctx context.Context, call leader.Call, taken *bool) leader.Reply {
 	done := make(chan leader.Reply, 1)
 	r.Local.Handle(ctx, call, func(reply leader.Reply) { done <- reply })
 	select {
 	case reply := <-done:
+		*taken = *taken || reply.Verdict == planner.Uncertain && !reply.NotTaken
 		return reply
 	case <-ctx.Done():
+		*taken = true
 		return leader.Reply{Verdict: planner.Uncertain, Reason: "the leader did not decide in time"}
 	}
 }
 
-func (r *Relayer) forget(p *pending, sent *bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.pending, p.call.ID)
-	*sent = *sent || p.sent
-}
-
-// send queues a call on the current link and reports whether it did. If the queue
-// is full, it cancels the link. The mutex is held.
-func (r *Relayer) send(call leader.Call) bool {
-	if r.currentLink == nil {
-		return false
-	}
-	select {
-	case r.currentLink.queue <- &leader.Up{Calls: []leader.Call{call}}:
-		return true
-	default:
-		r.currentLink.cancel()
-		return false
-	}
-}
-
 // Ready reports whether the leader can be reached.
 func (r *Relayer) Ready() bool {
 	if r.Local != nil && r.Local.Leading() {
@@ -259,7 +253,9 @@
 
 // Run maintains a stream to the leader until ctx ends.
 func (r *Relayer) Run(ctx context.Context) {
-	if r.Local == nil {
+	if r.Local != nil {
+		go r.noteLeadership(ctx)
+	} else {
 		for n := range watcherCount {
 			go r.watchDaemons(ctx, n)
 		}
@@ -306,7 +302,7 @@
 		return
 	}
 	r.Log.Info("leader found", "address", address, "term", welcome.Term)
-	l := &link{address: address, queue: make(chan *leader.Up, linkQueueSize), cancel: cancel}
+	l := &link{address: address, queue: make(chan item, linkQueueSize), cancel: cancel, heardAt: r.Now()}
 	r.setLink(l)
 	err = r.serveLink(ctx, stream, l)
 	r.clearLink(l)
@@ -317,66 +313,62 @@
 func (r *Relayer) setLink(l *link) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.currentLink = l
-	for _, p := range r.pending {
-		p.sent = r.send(p.call) || p.sent
-	}
-}
-
-// clearLink removes a link that has ended and records when. Pending calls are
-// sent again over the next link.
-func (r *Relayer) clearLink(l *link) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.currentLink == l {
-		r.currentLink = nil
-		r.linkLostAt = r.Now()
-	}
+	r.currentLink, r.servedLink = l, l
+	r.sendPending()
 }
 
 // serveLink sends queued messages and receives replies until the stream ends or
-// nothing is received for streamTimeout.
+// nothing is received for streamTimeout. While the leader seems to be silent, calls stay in
+// the queue, where it is certain that no leader has taken them.
 func (r *Relayer) serveLink(ctx context.Context, stream *leader.ClientStream, l *link) error {
 	received := make(chan struct{}, 1)
 	broken := make(chan error, 1)
 	go func() { broken <- r.receive(ctx, stream, l, received) }()
-	tick := time.NewTicker(pingInterval)
+	blocked := time.AfterFunc(streamTimeout+pingInterval, l.cancel) // a Send may block for as long as the leader reads nothing
+	defer blocked.Stop()
+	tick := time.NewTicker(silenceCheckInterval)
 	defer tick.Stop()
-	last := r.Now()
+	h := hearing{heardAt: r.Now()}
 	for {
+		queue := l.queue
+		if h.silent(r.Now()) {
+			queue = nil
+		}
+		var m *leader.Up
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case err := <-broken:
 			return err
 		case <-received:
-			last = r.Now()
-		case m := <-l.queue:
-			mergeQueued(l, m)
-			if err := stream.Send(m); err != nil {
-				return err
+			h = hearing{heardAt: r.Now()}
+			r.noteHeard(l, h.heardAt)
+			blocked.Reset(streamTimeout + pingInterval)
+			continue
+		case first := <-queue:
+			m = r.takeQueued(l, first)
+			if len(m.Calls)+len(m.Tickets) == 0 {
+				continue
 			}
 		case <-tick.C:
-			if r.Now().Sub(last) > streamTimeout {
+			if r.Now().Sub(h.heardAt) > streamTimeout {
 				return errors.Timeoutf("stream to the leader")
 			}
-			if err := stream.Send(&leader.Up{Ping: true}); err != nil {
-				return err
+			if !h.pingDue(r.Now()) {
+				continue
 			}
+			m = &leader.Up{Ping: true}
+		}
+		h.wrote(m, r.Now())
+		if err := stream.Send(m); err != nil {
+			r.unsend(l, m)
+			return err
 		}
-	}
-}
-
-// mergeQueued merges queued messages into m.
-func mergeQueued(l *link, m *leader.Up) {
-	for len(l.queue) > 0 {
-		next := <-l.queue
-		m.Calls = append(m.Calls, next.Calls...)
-		m.Tickets = append(m.Tickets, next.Tickets...)
 	}
 }
 
 func (r *Relayer) receive(ctx context.Context, stream *leader.ClientStream, l *link, received chan<- struct{}) error {
+	retired := false
 	for {
 		m, err := stream.Recv()
 		if err != nil {
@@ -387,7 +379,14 @@
 		default:
 		}
 		for _, reply := range m.Replies {
-			r.deliverReply(reply)
+			r.deliverReply(l, reply)
+		}
+		if m.Welcome != nil && !m.Welcome.Leading {
+			r.retireLink(l, m.Welcome)
+			retired = true
+		}
+		if retired && r.drained(l) {
+			return errRetired
 		}
 		for i := range m.TicketRequests {
 			go r.requestTickets(ctx, l, &m.TicketRequests[i])
@@ -395,23 +394,20 @@
 	}
 }
 
-func (r *Relayer) deliverReply(reply leader.Reply) {
+// retireLink ends a link whose daemon does not lead any more once its calls are answered.
+func (r *Relayer) retireLink(l *link, w *leader.Welcome) {
 	r.mu.Lock()
-	p := r.pending[reply.ID]
+	r.endLink(l)
 	r.mu.Unlock()
-	if p == nil {
-		return
-	}
-	select {
-	case p.done <- reply:
-	default:
-	}
+	r.applyWelcome(w)
 }
 
+var errRetired = errors.New("the daemon does not lead any more")
+
 func (r *Relayer) requestTickets(ctx context.Context, l *link, o *planner.TicketRequest) {
 	report := r.RequestTickets(o)
 	select {
-	case l.queue <- &leader.Up{Tickets: []planner.TicketReport{*report}}:
+	case l.queue <- item{tickets: report}:
 	case <-ctx.Done():
 	}
 }
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -42,7 +42,8 @@
 }
 
 // Welcome reports the leader. It is the first message of a stream, and is sent
-// again on each change of leader if Hello.Watch was set.
+// again on each change of leader if Hello.Watch was set. On a calling stream it is
+// sent again when its daemon stops leading; calls that come after it are not taken.
 type Welcome struct {
 	Leading bool           `cbor:"1,keyasint,omitempty"` // the daemon that was called leads
 	Leader  string         `cbor:"2,keyasint,omitempty"` // address of the leader; empty if unknown
@@ -93,6 +94,9 @@
 	return "None"
 }
 
+// HasEffect reports whether a call may change the replicated state.
+func (c *Call) HasEffect() bool { return c.State == nil && !c.Fetch && c.WaveStatus == 0 }
+
 // Subject returns the job, queue, target, document version or wave that a call
 // refers to.
 func (c *Call) Subject() string {
@@ -135,6 +139,10 @@
 	Document   []byte           `cbor:"8,keyasint,omitempty"`
 	Completed  bool             `cbor:"9,keyasint,omitempty"`  // of a wave
 	AtLeader   bool             `cbor:"10,keyasint,omitempty"` // the target is to announce itself at the leader from now on
+	// NotTaken is set beside the verdict Uncertain when this sending of the call has had
+	// no effect and will have none. Versions that do not know it take the outcome as
+	// unknown.
+	NotTaken bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Handler serves the streams of daemons on the leader.
@@ -191,7 +199,8 @@
 	stream grpc.ClientStream
 }
 
-// Send sends a message to the leader.
+// Send sends a message to the leader. If it fails, the leader never gets the message:
+// gRPC hands a message to the connection whole or, with an error, not at all.
 func (s *ClientStream) Send(m *Up) error { return s.stream.SendMsg(m) }
 
 // Recv returns the next message from the leader.
