--- a/internal/daemon/relayer/find.go
+++ b/internal/daemon/relayer/find.go
@@ -123,7 +123,8 @@
 	if w == nil {
 		return false
 	}
-	r.noteAnswer()
+	named := w.Leader != ""
+	r.noteAnswer(named)
 	r.applyWelcome(w)
 	go r.cancelWhenLeaderless(ctx, cancel)
 	timeout := time.AfterFunc(watchTimeout, cancel)
@@ -136,10 +137,11 @@
 			return false
 		}
 		timeout.Reset(watchTimeout)
-		r.noteAnswer()
 		if m.Welcome != nil {
+			named = m.Welcome.Leader != ""
 			r.applyWelcome(m.Welcome)
 		}
+		r.noteAnswer(named)
 		if address != preferred && r.Now().Sub(started) > preferredRetryInterval {
 			return true
 		}
@@ -180,11 +182,14 @@
 	}
 }
 
-// noteAnswer records that a watched replica has answered.
-func (r *Relayer) noteAnswer() {
+// noteAnswer records that a watched replica has answered, and whether it names a leader.
+func (r *Relayer) noteAnswer(named bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
+	if named {
+		r.namedAt = now
+	}
 	if now.Sub(r.answeredAt) > silenceTimeout {
 		r.answeredSince = now
 	}
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -54,6 +54,7 @@
 	leader             leadership
 	linkLostAt         time.Time // when the last leader was heard last, or this daemon stopped leading
 	answeredAt         time.Time // when a watched replica answered last
+	namedAt            time.Time // when one did that names a leader
 	answeredSince      time.Time // see Absence
 	failures           int       // calls not decided in the current second
 	failureWindowStart time.Time
@@ -198,7 +199,7 @@
 func (r *Relayer) absence() Absence {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Absence{Since: r.linkLostAt, AnsweredSince: r.answeredSince}
+	return Absence{Since: r.linkLostAt, AnsweredSince: r.answeredSince, Named: r.Now().Sub(r.namedAt) <= silenceTimeout}
 }
 
 // leaderlessFor returns how long there has been no stream to a leader, 0 while
--- a/internal/daemon/relayer/retry.go
+++ b/internal/daemon/relayer/retry.go
@@ -36,6 +36,9 @@
 	// AnsweredSince is when a replica answered again after none had; zero: none answers, or
 	// they never stopped.
 	AnsweredSince time.Time
+	// Named is set while a replica names a leader, which this daemon does not reach. Other
+	// daemons may reach it.
+	Named bool
 }
 
 // Age returns how long an election may have been under way: the time without a leader, less
@@ -54,9 +57,13 @@
 
 // RetryAfter returns when a caller should come back, in whole seconds. It grows with the
 // absence of the leader, as long absences last longer, but is at most the share of one
-// retry in the caller's patience (0: unknown). Draw, from 0 to 1, differs between callers
+// retry in the caller's patience (0: unknown). If another daemon may reach the leader, the
+// caller should try that soon. Draw, from 0 to 1, differs between callers
 // and spreads them.
 func (a Absence) RetryAfter(now time.Time, patience time.Duration, draw float64) time.Duration {
+	if a.Named {
+		return minRetryAfter
+	}
 	delay := min(minRetryAfter+time.Duration(retryGrowth*float64(a.Age(now))), maxRetryAfter)
 	if patience > 0 {
 		delay = min(delay, patience/callerRetries)
--- a/internal/daemon/relayer/retry_test.go
+++ b/internal/daemon/relayer/retry_test.go
@@ -22,21 +22,23 @@
 		now      time.Duration // since the loss
 		patience time.Duration
 		draw     float64
+		named    bool // by a replica
 		want     time.Duration
 	}{
-		{"just lost", 0, 0, 0, 0, second},
-		{"election over, early caller", 0, second, 0, 0.8, second},
-		{"election over, late caller", 0, second, 0, 0.7, 2 * second},
-		{"later", 0, 2 * second, 0, 0.6, 2 * second},
-		{"long", 0, 4 * second, 0, 0, 3 * second},
-		{"very long", 0, time.Hour, 0, 0, 3 * second},
-		{"replicas back", 7 * second, 7 * second, 0, 0, second},
-		{"replicas seen before the loss", -second, 4 * second, 0, 0, 3 * second},
-		{"short job", 0, 6 * second, 4 * second, 0, second},
-		{"long job", 0, 6 * second, 45 * second, 0, 3 * second},
-		{"clock set back", 0, -second, 0, 0, second},
+		{"just lost", 0, 0, 0, 0, false, second},
+		{"election over, early caller", 0, second, 0, 0.8, false, second},
+		{"election over, late caller", 0, second, 0, 0.7, false, 2 * second},
+		{"later", 0, 2 * second, 0, 0.6, false, 2 * second},
+		{"long", 0, 4 * second, 0, 0, false, 3 * second},
+		{"very long", 0, time.Hour, 0, 0, false, 3 * second},
+		{"replicas back", 7 * second, 7 * second, 0, 0, false, second},
+		{"replicas seen before the loss", -second, 4 * second, 0, 0, false, 3 * second},
+		{"short job", 0, 6 * second, 4 * second, 0, false, second},
+		{"long job", 0, 6 * second, 45 * second, 0, false, 3 * second},
+		{"clock set back", 0, -second, 0, 0, false, second},
+		{"leader elsewhere", 0, 6 * second, 0, 0, true, second},
 	} {
-		a := relayer.Absence{Since: lost}
+		a := relayer.Absence{Since: lost, Named: test.named}
 		if test.answered != 0 {
 			a.AnsweredSince = lost.Add(test.answered)
 		}
