--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -137,10 +137,10 @@
 	why := causeNoLeader
 	startedAt := r.Now()
 	for {
-		if !taken && r.leaderOverdue() {
+		if !taken && r.leaderOverdue(startedAt) {
 			return r.refuse(&call, "no leader was found"), why
 		}
-		reply := r.try(ctx, call, &taken)
+		reply := r.try(ctx, call, startedAt, &taken)
 		if reply.NotTaken {
 			why = causeNotTaken
 		}
@@ -187,9 +187,12 @@
 	return r.absence().RetryAfter(r.Now(), patience, rand.Float64())
 }
 
-// leaderOverdue reports whether this daemon has been without a leader for longer
-// than leaderWaitTimeout.
-func (r *Relayer) leaderOverdue() bool { return !r.Ready() && r.absence().Overdue(r.Now()) }
+// leaderOverdue reports whether a call that began at some time has waited long enough for a
+// leader, or the leader has been missing for that long.
+func (r *Relayer) leaderOverdue(begun time.Time) bool {
+	now := r.Now()
+	return !r.Ready() && (now.Sub(begun) > leaderWaitTimeout || r.absence().Overdue(now))
+}
 
 // uncertainTimeout is how long a call that may have reached a leader waits for
 // its reply. A retry through another daemon may succeed sooner.
@@ -214,7 +217,7 @@
 }
 
 // try sends a call until a leader answers it, and sets taken if one may have taken it.
-func (r *Relayer) try(ctx context.Context, call leader.Call, taken *bool) leader.Reply {
+func (r *Relayer) try(ctx context.Context, call leader.Call, begun time.Time, taken *bool) leader.Reply {
 	if r.Local != nil && r.Local.Leading() {
 		return r.doLocal(ctx, call, taken)
 	}
@@ -234,7 +237,7 @@
 				return leader.Reply{Verdict: planner.Uncertain, Reason: "this daemon leads now"}
 			}
 			mayBeTaken := *taken || r.mayBeTaken(p)
-			if !mayBeTaken && r.leaderOverdue() || mayBeTaken && r.Now().Sub(startedAt) > uncertainTimeout {
+			if !mayBeTaken && r.leaderOverdue(begun) || mayBeTaken && r.Now().Sub(startedAt) > uncertainTimeout {
 				return leader.Reply{Verdict: planner.Uncertain, Reason: "no leader answered"}
 			}
 		}
