--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -126,3 +126,15 @@
 		})
 	}
 }
+
+// Guards against jobs that run although all answers to their callers were refusals, while all
+// replicas are without power and callers give up.
+func TestOutageOfAllReplicas(t *testing.T) {
+	c := quicktest.New(t)
+	r := &rehearser.Rehearsal{Program: build(t), Folder: t.ArtifactDir(), Seed: 1, Run: 200 * time.Millisecond, Duration: 9 * time.Second, Outage: 4 * time.Second}
+	report, err := r.Play(context.Background())
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(report.Problems, quicktest.HasLen, 0)
+	c.Assert(report.Done > 0, quicktest.IsTrue)
+	t.Logf("%d callers gave up, answers by status %v", report.GaveUp, report.Answers)
+}
