--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -12,7 +12,7 @@
 // This file serves calls. Calls that change the replicated state go to the
 // planner; calls that read it wait until the read is linearizable.
 
-// Handle serves a call. It calls reply once, from any goroutine; reply must not
+// Handle serves a call of this daemon. It calls reply once, from any goroutine; reply must not
 // block.
 func (c *Coordinator) Handle(ctx context.Context, msg leader.Call, reply func(leader.Reply)) {
 	c.enqueueCall(ctx, &call{Call: msg, reply: reply})
@@ -42,15 +42,19 @@
 	accepted := func() { answer(planner.Answer{Verdict: planner.Accepted}) }
 	switch {
 	case req.Submit != nil:
-		c.Planner.Submit(req.Submit, answer, now)
+		sub := *req.Submit // the relayer may still send the original
+		sub.Withheld = req.withheld
+		c.Planner.Submit(&sub, c.confirmed(req, answer), now)
 	case req.Cancel != nil:
-		c.Planner.Cancel(req.Cancel.Host, req.Cancel.Path, answer, now)
+		c.Planner.Cancel(req.place(req.Cancel), c.confirmed(req, answer), now)
+	case req.Authenticate != nil:
+		c.authenticate(req)
 	case req.Announce != nil:
 		c.Planner.Announce(req.Announce, func() { c.acknowledge(req) }, now)
 	case req.Depart != "":
 		c.Planner.Depart(planner.Departure{Target: req.Depart, Incarnation: req.Departing}, accepted, now)
 	case req.Put != nil:
-		c.Planner.Put(req.Put, accepted, now)
+		c.Planner.Put(req.Put, answer, now)
 	case req.State != nil:
 		c.read(req, func() { c.replyState(req) }, now)
 	case req.Fetch:
@@ -74,6 +78,43 @@
 	req.answer(leader.Reply{Verdict: planner.Accepted, AtLeader: c.MaxAnnouncers == 0 || rank < c.MaxAnnouncers})
 }
 
+// authenticate answers whether a call to a place would be refused for its key.
+func (c *Coordinator) authenticate(req *call) {
+	keyless := !c.Planner.RequiresKeys()
+	a := c.Planner.Authenticate(req.place(req.Authenticate))
+	c.confirmed(req, func(a planner.Answer) {
+		req.answer(leader.Reply{Verdict: a.Verdict, RetryAfter: a.RetryAfter, Reason: a.Reason, Keyless: keyless})
+	})(a)
+}
+
+// place returns a place of the call with what is known of its caller.
+func (req *call) place(x *leader.Place) planner.Place {
+	return planner.Place{Host: x.Host, Path: x.Path, Credential: planner.Credential{Key: x.Key, Withheld: req.withheld}}
+}
+
+// confirmed returns answer, delayed until this replica is known to have led when it decided, if
+// the newest document declares workspaces. Another leader may have revoked a key, and an answer that
+// needs no commit may otherwise come from a replica that no longer leads.
+func (c *Coordinator) confirmed(req *call, answer func(planner.Answer)) func(planner.Answer) {
+	if !c.Planner.RequiresKeys() {
+		return answer
+	}
+	return func(a planner.Answer) {
+		req.refused = req.Submit != nil && a.Verdict != planner.Accepted
+		c.read(req, func() { answer(a) }, c.Clock.Now())
+	}
+}
+
+// countRejection counts a read that was refused for the credential of its caller.
+func (c *Coordinator) countRejection(a planner.Answer) {
+	switch a.Verdict {
+	case planner.Unauthorized:
+		c.Meter.Unauthorized(1)
+	case planner.Forbidden:
+		c.Meter.Forbidden(1)
+	}
+}
+
 // read is a call that waits until a majority has confirmed the leader.
 type read struct {
 	call *call
@@ -100,14 +141,14 @@
 }
 
 func (c *Coordinator) replyState(req *call) {
-	r := leader.Reply{}
-	q, rest := c.state.Document.Route(req.State.Host, req.State.Path)
-	if q != nil && rest == "" {
+	r, place := leader.Reply{}, req.place(req.State)
+	if q, _ := c.keyring.FindQueue(c.state, place); q != nil {
 		r.Verdict, r.IsQueue, r.Pending = planner.Accepted, true, c.Planner.CountPending(q.Name)
 		req.answer(r)
 		return
 	}
-	job, a := planner.Find(c.state, req.State.Host, req.State.Path)
+	job, a := c.keyring.Find(c.state, place)
+	c.countRejection(a)
 	r.Verdict, r.RetryAfter, r.Reason = a.Verdict, a.RetryAfter, a.Reason
 	if job != nil {
 		r.Job = job.State
--- a/internal/daemon/coordinator/outcomes.go
+++ b/internal/daemon/coordinator/outcomes.go
@@ -24,6 +24,9 @@
 	// repeated is set if the job was known when the call arrived: an earlier submission of
 	// it may still be accepted.
 	repeated bool
+	// refused is set if the call is a submission that was refused, which has no effect.
+	refused  bool
+	withheld bool // the daemon that passed it on does not pass keys on
 }
 
 // answer answers a call unless it has been answered.
@@ -68,7 +71,7 @@
 	}
 	for _, reads := range c.reads {
 		for _, r := range reads {
-			n.end(r.call, false)
+			n.end(r.call, r.call.HasEffect() && !r.call.refused) // an effect is committed
 		}
 	}
 	c.inflight, c.deciding = nil, nil
--- a/internal/daemon/coordinator/outcomes_test.go
+++ b/internal/daemon/coordinator/outcomes_test.go
@@ -163,3 +163,33 @@
 	c.Assert(r.Verdict, quicktest.Equals, planner.Uncertain)
 	c.Assert(r.NotTaken, quicktest.IsTrue)
 }
+
+// Guards against a job that is reported as not taken while its answer waits for the confirmation
+// of the leader, though its acceptance is committed.
+func TestAcceptedJobIsUncertainWhenItsAnswerIsNotConfirmed(t *testing.T) {
+	c := quicktest.New(t)
+	p := startPair(c)
+	p.await(leader.Call{Put: &definer.Document{
+		Version: 1, Pools: []definer.Pool{{Name: "p"}}, Queues: []definer.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"}},
+		Workspaces: []definer.Workspace{{Name: "a", Keys: []definer.Key{"key"}}},
+	}})
+	submit := func(id definer.JobID, key definer.Key) leader.Call {
+		return leader.Call{Submit: &planner.Submission{
+			Host: "h", Path: "/q/" + id.String(), Job: &definer.Job{ID: id, Steps: []definer.Step{{Count: 1}}}, Credential: planner.Credential{Key: key},
+		}}
+	}
+	p.await(submit(7, "key"))
+	p.cut.Store(true)
+	for _, test := range []struct {
+		call     leader.Call
+		notTaken bool
+	}{
+		{submit(7, "key"), false}, {submit(8, "other"), true}, {leader.Call{State: &leader.Place{Host: "h", Path: "/q/7", Key: "key"}}, true},
+	} {
+		replies := make(chan leader.Reply, 1)
+		p.Handle(c.Context(), test.call, func(r leader.Reply) { replies <- r })
+		r := receive(c, replies)
+		c.Check(r.Verdict, quicktest.Equals, planner.Uncertain)
+		c.Check(r.NotTaken, quicktest.Equals, test.notTaken, quicktest.Commentf("%s: %s", test.call.Kind(), r.Reason))
+	}
+}
--- a/internal/load/simulator/simulator.go
+++ b/internal/load/simulator/simulator.go
@@ -33,6 +33,8 @@
 	Licensed bool // queues need tickets
 	Proxies  int  // to the licensing service; 0: 5
 	Listed   int  // ends that a target lists in one answer; 0: 500
+	// Workspaces makes each kind of job a workspace with its limit; there are none otherwise.
+	Workspaces bool
 	// FailTogether lets all members of a gang fail with one of them.
 	FailTogether bool
 	// Configure, when set, alters each new planner.
@@ -164,6 +166,12 @@
 	s.now = s.begun
 	s.audit = &emulator.Audit{Begun: s.begun, CancelTime: cancelTime, DrainTime: drainTime, EarlyMargin: 250 * time.Millisecond, Calm: s.calm,
 		RestartTime: 6 * time.Second, IdleTime: 3 * time.Second, CalmBefore: 4 * time.Second}
+	if s.Workspaces {
+		s.audit.Workspace = func(id definer.JobID) (definer.WorkspaceName, registrar.Need) {
+			k := &s.Mix[s.jobs[id].kind]
+			return definer.WorkspaceName(k.Name), k.Limit
+		}
+	}
 	s.world = &emulator.World{Work: s.work, Audit: s.audit, FailTogether: s.FailTogether}
 	s.committed = tracker.New()
 	s.jobs = make(map[definer.JobID]*client)
@@ -344,12 +352,26 @@
 		gap, idle := s.audit.Gaps(c.id)
 		k.LongestGap, k.LongestIdle = max(k.LongestGap, gap), max(k.LongestIdle, idle)
 	}
+	s.checkCharges()
 	if s.leader != nil {
 		s.Result.Counters = s.leader.planner.Counters
 	}
 	s.Result.Problems = s.audit.Problems
 }
 
+// checkCharges checks that nothing is charged to workspaces once all jobs have ended: what is never released would keep
+// them from starting anything.
+func (s *Simulation) checkCharges() {
+	if s.leader == nil || len(s.audit.Problems) > 0 {
+		return
+	}
+	for _, w := range s.leader.planner.Load(s.moment()).Workspaces {
+		if w.Usage != (registrar.Need{}) {
+			s.audit.Problems = append(s.audit.Problems, fmt.Sprintf("workspace %s is charged with %s at the end", w.Name, w.Usage))
+		}
+	}
+}
+
 func (s *Simulation) sortedJobs() []*client {
 	out := make([]*client, 0, len(s.jobs))
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
