--- a/internal/daemon/coordinator/outcomes.go
+++ b/internal/daemon/coordinator/outcomes.go
@@ -30,18 +30,18 @@
 }
 
 // answer answers a call unless it has been answered.
-func (r *call) answer(reply leader.Reply) {
-	if r.answered {
+func (req *call) answer(reply leader.Reply) {
+	if req.answered {
 		return
 	}
-	r.answered = true
-	reply.ID = r.ID
-	r.reply(reply)
+	req.answered = true
+	reply.ID = req.ID
+	req.reply(reply)
 }
 
 // refuse answers that the call was not taken.
-func (r *call) refuse(reason string) {
-	r.answer(leader.Reply{Verdict: planner.Uncertain, NotTaken: true, Reason: reason})
+func (req *call) refuse(reason string) {
+	req.answer(leader.Reply{Verdict: planner.Uncertain, NotTaken: true, Reason: reason})
 }
 
 // inflightRound is a round that was proposed and is not committed yet.
