--- a/internal/daemon/coordinator/streams.go
+++ b/internal/daemon/coordinator/streams.go
@@ -84,7 +84,7 @@
 		}
 		for _, k := range m.Calls {
 			reply := func(r leader.Reply) { s.enqueue(&leader.Down{Replies: []leader.Reply{r}}) }
-			c.handle(ctx, &call{Call: k, reply: reply, withheld: !s.keys})
+			c.enqueueCall(ctx, &call{Call: k, from: s, reply: reply, withheld: !s.keys})
 		}
 		if m.Ping {
 			s.enqueue(&leader.Down{})
