--- a/internal/workflow/planner/ticket_load.go
+++ b/internal/workflow/planner/ticket_load.go
@@ -24,12 +24,16 @@
 	longCall = 100 * time.Millisecond
 	// shortCallShare is the part of the daemons that is left to short calls.
 	shortCallShare = 4
+	// ampleShare is the free part of a pool from which on any step may make a call. Steps that wait
+	// for certain targets may hold back others that could start.
+	ampleShare = 0.3
 )
 
 // sought is the capacity that a pass has found to be sought with tickets.
 type sought struct {
 	room  amount // free, or released while a ticket is valid
 	taken amount // by the steps that were placed before, in order
+	ample bool   // a good part of the pool is free, so that what is sought may not be what is found
 }
 
 // dividesCalls reports whether calls to the licensing service are divided.
@@ -53,11 +57,15 @@
 	for _, f := range out.flows {
 		x.room.add(f.released, validity.Seconds())
 	}
+	var free, capacity amount
 	for _, t := range pl.targets {
 		if t.schedulable(now) {
-			x.room.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
+			free.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
+			capacity.add(amountOf(t.rec.Capacity, 1), 1)
 		}
 	}
+	x.room.add(free, 1)
+	x.ample = free[0] >= capacity[0]*ampleShare && free[1] >= capacity[1]*ampleShare
 	p.sought[pl.name] = x
 	return x
 }
@@ -67,6 +75,9 @@
 func (x *sought) seek(s *step, tasks int) bool {
 	need := amountOf(s.def.Charge(), 1)
 	fits := true
+	if x.ample {
+		return true
+	}
 	for i := range need {
 		fits = fits && (need[i] == 0 || x.taken[i]+need[i] <= x.room[i])
 	}
