--- a/internal/workflow/planner/ticket_load.go
+++ b/internal/workflow/planner/ticket_load.go
@@ -70,6 +70,25 @@
 	return x
 }
 
+// holdRequested holds capacity for a step on the targets of its pending request until the next
+// pass. Without that, steps of lower priority that have tickets already take the room while a
+// short call is on its way.
+func (p *Planner) holdRequested(s *step, tasks int) {
+	a := p.ticketRequests[s.pendingRequest]
+	if a == nil || s.def.LongRunning {
+		return
+	}
+	for _, id := range a.targets[:min(len(a.targets), tasks*requestedHolds)] {
+		if t := p.targets[id]; t != nil {
+			t.held = t.held.Plus(s.def.Charge())
+			p.holding = append(p.holding, t)
+		}
+	}
+}
+
+// requestedHolds is on how many targets capacity is held for each task: not all of them admit it.
+const requestedHolds = 2
+
 // seek counts the tasks of a step that wait, and reports whether the room sufficed for the
 // first of them.
 func (x *sought) seek(s *step, tasks int) bool {
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -83,6 +83,9 @@
 	if long && !p.soughtOf(pl, l.TicketValidity-ticketMargin, now).seek(s, tasks) {
 		return
 	}
+	if s.pendingRequest != 0 && !long && p.dividesCalls() {
+		p.holdRequested(s, tasks)
+	}
 	if s.pendingRequest != 0 || p.proxiesFull || now.Monotonic.Before(s.requestAfter) {
 		return
 	}
@@ -116,6 +119,9 @@
 	p.ticketRequests[a.id] = a
 	s.pendingRequest = a.id
 	p.Counters.TicketRequests++
+	if !long && p.dividesCalls() {
+		p.holdRequested(s, tasks)
+	}
 	p.doNow(Action{TicketRequest: &TicketRequest{ID: a.id, Proxy: proxy.id, Step: s.id, Targets: named}})
 }
 
