--- a/internal/cli/commander/docs_test.go
+++ b/internal/cli/commander/docs_test.go
@@ -199,10 +199,12 @@
 	return "# Settings\n\n" + generated +
 		"Each daemon reads one INI file. `masticroad check --settings FILE` reports all findings together.\n\n" + loader.Describe() +
 		"\n## On the prepared VMs\n\n" +
-		"`masticroad platform` reads the file that the platform writes. One key of it is the project's own and may be added by a template:\n\n" +
+		"`masticroad platform` reads the file that the platform writes. Two keys of it are the project's own and may be added by a template:\n\n" +
 		"| Key | Default | Allowed | Effect |\n|---|---|---|---|\n" +
 		"| descriptors | " + formatWeights(divider.DefaultWeights()) + " | weights from 1 to 1000, only those that differ | how the descriptors of the process are divided: " +
-		"the lower one of `max-fds` under `limits` and the system's limit, less fixed numbers for files, services and a reserve, among the purposes that a daemon has |\n"
+		"the lower one of `max-fds` under `limits` and the system's limit, less fixed numbers for files, services and a reserve, among the purposes that a daemon has |\n" +
+		"| interference | off | off, observe, avoid | what the leader does about images whose runs slow each other down on a target: nothing; learn and report which do; " +
+		"or also prefer targets without them where there is ample room. Set it alike on all daemons with a data folder |\n"
 }
 
 func formatWeights(w divider.Weights) string {
--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -397,6 +397,7 @@
 	c.Meter.WithdrawalsDropped(round.WithdrawalsDropped)
 	c.Meter.Unauthorized(round.Unauthorized)
 	c.Meter.Forbidden(round.Forbidden)
+	c.Meter.PlacementsSpaced(round.PlacementsSpaced)
 	c.work.add(inputs, took)
 	if now.Monotonic.Sub(c.loadReportedAt) >= loadInterval {
 		c.loadReportedAt = now.Monotonic
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -45,7 +45,9 @@
 	DataFolder string // empty: no replica
 	Bootstrap  bool   // bootstrap the cell if the data folder is empty
 	Bounds     planner.Bounds
-	Timing     replicator.Timing
+	// Interference is what a leader does about images that slow each other down.
+	Interference planner.Interference
+	Timing       replicator.Timing
 	// MaxTargetConnections and MaxControlConnections bound the connections to targets
 	// and those that targets open for their announcements. 0: no bound.
 	MaxTargetConnections, MaxControlConnections int
@@ -151,7 +153,11 @@
 	}
 	s.coordinator = &coordinator.Coordinator{
 		Node: s.node, Clock: s.clock, Log: s.Log.Named("coordinator"), Dispatcher: s.dispatcher, Name: planner.LicenceProxyID(s.Settings.Name),
-		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name}, Limits: s.Settings.limits(), Decode: s.Decode},
+		Planner: &planner.Planner{
+			Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name, Interference: s.Settings.Interference},
+			Limits:   s.Settings.limits(),
+			Decode:   s.Decode,
+		},
 		MaxBytes: cmp.Or(s.Settings.SnapshotBytes, snapshotBytes), OnLeaderChange: s.Relayer.UpdateLeader, Meter: s.Meter, MaxAnnouncers: s.Settings.MaxControlConnections / 2,
 		ActAs: s.Settings.ActAs,
 	}
--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -39,6 +39,7 @@
 	dropped  prometheus.Counter
 	unknown  prometheus.Counter
 	foreign  prometheus.Counter
+	spaced   prometheus.Counter
 	failed   *prometheus.CounterVec
 	format   *prometheus.GaugeVec // without labels, as only replicas show it
 	leading  prometheus.Gauge
@@ -84,6 +85,10 @@
 		foreign: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "calls_forbidden_total", Help: "Calls refused as their job belongs to another workspace, at the leader.",
 		}),
+		spaced: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "placements_spaced_total",
+			Help: "Runs for which findings of interference prefer another target, at the leader. With the setting observe they aren't followed.",
+		}),
 		failed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "failed_runs_total", Help: "Failed runs of tasks that are not long-running, by whether they used up an attempt of a task or gang, at the leader.",
 		}, []string{"counted"}),
@@ -104,7 +109,7 @@
 		Namespace: namespace, Name: "replicas_left_behind", Help: "Replicas that get no entries since their versions do not follow the format in force, at the leader.",
 	})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
+	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.spaced, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
@@ -127,6 +132,7 @@
 		Namespace: namespace, Name: "longest_outage_seconds", Help: "Longest time that a task of a long-running job has been without a run, at the leader.",
 	}, func() float64 { return m.load.Load().LongestOutage.Seconds() }))
 	gauge("withdrawals", "Cancellations of unknown jobs that are remembered, at the leader.", func(l *planner.Load) int { return l.Withdrawals })
+	gauge("images_interfering", "Pairs of images of which one is found to slow the other, at the leader.", func(l *planner.Load) int { return l.Interfering })
 	gauge("licence_calls", "Calls of the licensing service without an answer, at the leader.", func(l *planner.Load) int { return l.TicketRequests })
 }
 
@@ -159,6 +165,13 @@
 	}
 }
 
+// PlacementsSpaced takes in runs for which findings of interference prefer another target.
+func (m *Meter) PlacementsSpaced(n int) {
+	if m != nil && n > 0 {
+		m.spaced.Add(float64(n))
+	}
+}
+
 // WithdrawalsDropped takes in cancellations of unknown jobs that were forgotten early.
 func (m *Meter) WithdrawalsDropped(n int) {
 	if m != nil {
--- a/internal/workflow/planner/jobs.go
+++ b/internal/workflow/planner/jobs.go
@@ -149,6 +149,9 @@
 	preemptAt      time.Time       // it may preempt runs from then on
 	rack           string          // required for its next tasks; empty: any
 	typicalTime    time.Duration   // typical run time of a task; 0: unknown
+	firstRack      string          // of its newest run, for noteRack
+	spread         bool            // its tasks were started on several racks
+	spaced         bool            // findings of interference prefer another target than the usual one for the next task
 }
 
 // addJob starts tracking a job of the replicated state.
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -108,6 +108,7 @@
 		started = p.startOn(s, pl, t, limit, now)
 	}
 	if left := min(limit-started, p.startsWithinLimit(s, 0)); left > 0 {
+		p.noteShortage(s, pl, now)
 		p.findCapacity(s, pl, left, now)
 		p.preempt(s, pl, now)
 		if s.holding {
@@ -146,6 +147,13 @@
 func (p *Planner) reserveRun(s *step, index int, number tracker.RunNumber, t *target, now Moment) *run {
 	r := p.addRun(s.job, s.def, runKey{s.id.Task(index), number}, t, runOrdered, now)
 	r.ticket = s.grants.text(t)
+	if s.spaced {
+		s.spaced = false
+		p.round.PlacementsSpaced++
+	}
+	if s.def.RackLocal {
+		s.noteRack(t.rec.Rack)
+	}
 	p.Counters.Started++
 	if number == 1 {
 		s.placedAt = now.Monotonic
@@ -195,28 +203,28 @@
 	if v.knownInfeasible(s.def.Charge()) {
 		return nil
 	}
-	b := bestTarget{}
+	b := choice{costs: p.neighbourCosts(s, pl, now)}
 	for _, x := range v.withRoom(s.def.Charge()) {
 		if x.target != excluded && p.isFeasible(s, pl, x.target, now) {
 			b.consider(x.target, p.score(s, x.target, now))
 		}
 	}
-	if b.target == nil && excluded == nil && s.isUnconstrained() {
+	if b.usual.target == nil && excluded == nil && s.isUnconstrained() {
 		v.infeasible = append(v.infeasible, s.def.Charge())
 	}
-	return b.target
+	return p.decide(s, &b)
 }
 
 // chooseWithTicket is chooseWithinLimit for a step that needs a ticket for its target.
 func (p *Planner) chooseWithTicket(s *step, pl *pool, excluded *target, now Moment) *target {
-	b := bestTarget{}
+	b := choice{costs: p.neighbourCosts(s, pl, now)}
 	for i := range s.grants.tickets {
 		x := &s.grants.tickets[i]
 		if t := x.target; t != excluded && p.isFeasible(s, pl, t, now) && p.isUsable(x, now) && t.rec.Pool == pl.name {
 			b.consider(t, p.score(s, t, now))
 		}
 	}
-	return b.target
+	return p.decide(s, &b)
 }
 
 // isFeasible reports whether one more task of a step may start on a target now,
@@ -322,7 +330,8 @@
 	for _, w := range s.waiting {
 		t := p.choose(s, pl, now)
 		if t == nil {
-			p.unreserve(s, runs)
+			p.noteShortage(s, pl, now)
+			p.unreserve(s, runs, now)
 			p.capacityReturned(pl.name)
 			p.findCapacity(s, pl, len(s.waiting), now)
 			return
@@ -335,7 +344,7 @@
 }
 
 // unreserve reverts runs that were reserved but not emitted.
-func (p *Planner) unreserve(s *step, runs []*run) {
+func (p *Planner) unreserve(s *step, runs []*run, now Moment) {
 	for _, r := range runs {
 		if r.key.number > 1 {
 			s.reruns--
@@ -344,6 +353,7 @@
 		delete(r.job.runs, r.key)
 		r.target.release(r)
 		r.job.releaseWorkspace(r.def)
+		p.removeNeighbour(r, now)
 		p.Counters.Started--
 	}
 }
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -67,8 +67,9 @@
 // Settings configures a Planner.
 type Settings struct {
 	Bounds
-	Region registrar.RegionName
-	Holder string // identifies this leader to the VM service
+	Region       registrar.RegionName
+	Holder       string // identifies this leader to the VM service
+	Interference Interference
 }
 
 // Planner makes the decisions of one leader. The exported fields are set before
@@ -105,6 +106,8 @@
 	formerStrays    []formerStray
 	passes          uint64 // of placement
 	keyring         Keyring
+	images          *images                        // nil: interference between images is ignored
+	exposed         []exposure                     // of the run that is being observed
 	slots           slot                           // taken so far
 	freeSlots       []slot                         // of removed targets
 	scans           map[definer.PoolName]*poolScan // of the current pass
@@ -143,9 +146,12 @@
 	Ignored     [Claims]int // claims about targets that had no effect
 	// WithdrawalsDropped counts withdrawals that were forgotten early, as there were too many.
 	WithdrawalsDropped int
-	FailedRuns         FailedRuns
-	Unauthorized       int // calls without a valid key
-	Forbidden          int // calls for jobs of other workspaces
+	// PlacementsSpaced counts runs for which findings of interference prefer another target than is chosen without
+	// them.
+	PlacementsSpaced int
+	FailedRuns       FailedRuns
+	Unauthorized     int // calls without a valid key
+	Forbidden        int // calls for jobs of other workspaces
 }
 
 // FailedRuns are numbers of failed runs of tasks that aren't long-running.
@@ -172,6 +178,7 @@
 	Untracked     int // tasks of started steps that neither have a run nor wait for one
 	Withdrawals   int // cancellations of unknown jobs that are remembered
 	Workspaces    []WorkspaceLoad
+	Interfering   int // pairs of images of which one is found to slow the other
 	// Lag is how late this leader handles what has arrived; timeouts allow for it.
 	Lag time.Duration
 }
@@ -195,6 +202,9 @@
 	l.Untracked = len(p.UntrackedTasks())
 	l.Withdrawals = p.State.Withdrawals()
 	l.Workspaces = p.workspaceLoads()
+	if p.images != nil {
+		l.Interfering = p.images.pairs
+	}
 	return l
 }
 
@@ -225,6 +235,10 @@
 	p.interference = make(map[imagePair]time.Time)
 	p.workspaces, p.formerStrays = make(map[definer.WorkspaceName]*workspace), nil
 	p.refreshLimits()
+	p.images = nil
+	if p.Settings.Interference != IgnoreInterference {
+		p.images = newImages()
+	}
 	p.scans = make(map[definer.PoolName]*poolScan)
 	p.slots, p.freeSlots = 0, nil
 	p.passDue = time.Time{}
@@ -329,6 +343,7 @@
 		p.checkGangs(now)
 		p.checkWaves(now)
 	}
+	p.evaluateInterference(now)
 	p.logOutages(now)
 	p.recordLeases(now)
 	p.forgetEndedJobs(now)
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -44,9 +44,13 @@
 // newHarness returns a leader of term 1 with one queue and a number of targets of
 // 16 processors each, which have answered a poll.
 func newHarness(c *quicktest.C, targets int) *harness {
+	return newConfiguredHarness(c, targets, planner.Settings{Bounds: bounds})
+}
+
+func newConfiguredHarness(c *quicktest.C, targets int, settings planner.Settings) *harness {
 	s := &harness{c: c, clocks: make(map[tracker.TargetID]time.Time)}
 	s.now = planner.Moment{Monotonic: time.Unix(1000, 0), Wall: registrar.MillisOf(time.Unix(1_800_000_000, 0))}
-	s.p = &planner.Planner{State: tracker.New(), Settings: planner.Settings{Bounds: bounds}}
+	s.p = &planner.Planner{State: tracker.New(), Settings: settings}
 	s.p.Begin(1, s.now)
 	s.p.RaiseFormat(tracker.CurrentFormat, s.now)
 	s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second})
--- a/internal/workflow/planner/pool_scan.go
+++ b/internal/workflow/planner/pool_scan.go
@@ -17,6 +17,7 @@
 type poolScan struct {
 	roomy      []roomyTarget    // schedulable targets, those with the most free processors first
 	infeasible []registrar.Need // needs for which none of them has capacity
+	ample      bool             // a large part of them is free; see ampleRoom
 }
 
 // roomyTarget is a schedulable target with its free processors when the pass looked. A
@@ -36,11 +37,15 @@
 	v := p.scans[pl.name]
 	if v == nil {
 		v = &poolScan{roomy: make([]roomyTarget, 0, len(pl.targets))}
+		var free, capacity registrar.Need
 		for _, t := range pl.targets {
 			if t.schedulable(now) {
-				v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU})
+				f := t.free()
+				v.roomy = append(v.roomy, roomyTarget{t, f.CPU})
+				free, capacity = free.Plus(f), capacity.Plus(t.rec.Capacity)
 			}
 		}
+		v.ample = float64(free.CPU) >= ampleRoom*float64(capacity.CPU) && float64(free.Memory) >= ampleRoom*float64(capacity.Memory)
 		slices.SortStableFunc(v.roomy, func(a, b roomyTarget) int { return cmp.Compare(b.cpu, a.cpu) })
 		p.scans[pl.name] = v
 	}
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -59,6 +59,11 @@
 	progressedAt        time.Time // when its progress last changed
 	resumed             bool      // it started from a checkpoint
 	goneAt              time.Time // latest end of a run that only an earlier incarnation can have; zero: not known to be one
+	image               imageID   // noImage: it isn't counted among the neighbours on its target
+	isNeighbour         bool      // it is counted as started there
+	beside              beside
+	tailSum             float64 // of the logarithms of tail latencies since it was marked
+	tails               int     // number of them
 }
 
 // mayBeInNewIncarnation reports whether a new incarnation of the run's target may
@@ -103,6 +108,7 @@
 	}
 	j.runs[key] = r
 	j.chargeWorkspace(def)
+	p.addNeighbour(r, now)
 	return r
 }
 
@@ -153,6 +159,7 @@
 	if r.stopping {
 		return
 	}
+	p.measureStopped(r, now)
 	r.stopping, r.stopReason = true, reason
 	if p.without(WithoutStopCharge) {
 		r.target.release(r)
@@ -349,6 +356,7 @@
 	if r.state != runStarted {
 		r.state = runStarted
 		r.startedAt = now.Monotonic
+		p.startNeighbour(r, now)
 	}
 }
 
@@ -449,6 +457,7 @@
 		r.progressedAt = report.Received
 	}
 	r.percent, r.sample, r.sampledAt = x.Percent, x.Sample, report.Received
+	p.measureTail(r, now)
 	if r.def.LongRunning && x.Percent >= fullPace && !r.ready {
 		r.ready = true
 		r.target.health.recordSuccess()
@@ -526,6 +535,8 @@
 	delete(j.runs, r.key)
 	j.idleSince = now.Monotonic
 	j.begun = j.begun || how.Listed()
+	p.measureEnd(r, how, now)
+	p.removeNeighbour(r, now)
 	t.forgetPace(r.key)
 	t.release(r)
 	j.releaseWorkspace(r.def)
--- a/internal/workflow/planner/sharing.go
+++ b/internal/workflow/planner/sharing.go
@@ -129,6 +129,7 @@
 		return
 	}
 	p.log("pace changed", "target", t.rec.ID, "percent", paceLevels[level], "before", paceLevels[s.level])
+	t.advanceNeighbours(now)
 	s.level, s.changedAt, s.calmSince = level, now.Monotonic, time.Time{}
 	s.haltedAt = time.Time{}
 	if paceLevels[level] == 0 {
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -53,6 +53,8 @@
 	ignoreDrain          bool // WithoutDrainCheck is set
 	cordoned             bool // its VM is about to be taken down
 	throttling           throttling
+	neighbours           neighbours
+	speed                targetSpeed
 }
 
 // free returns the capacity for new work.
@@ -62,6 +64,7 @@
 type pool struct {
 	name    definer.PoolName
 	targets []*target // by id
+	shortAt time.Time // when a task last found no room; see noteShortage
 }
 
 type runKey struct {
