--- a/internal/workflow/planner/identity.go
+++ b/internal/workflow/planner/identity.go
@@ -278,6 +278,7 @@
 	}
 	fresh, former := p.newTarget(t.rec, epoch, now), t.leaseEnd
 	fresh.slot, fresh.runs, fresh.used, fresh.usedLongRunning, fresh.held = t.slot, t.runs, t.used, t.usedLongRunning, t.held
+	fresh.neighbours = t.neighbours   // of those runs
 	fresh.lastContact = t.lastContact // when those runs were last known to be alive
 	*t = *fresh
 	p.assumeLease(t, p.Settings.MaxLease, now) // the deadline of a late order is a time on the earlier incarnation's clock
--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -86,7 +86,7 @@
 	if r.def.LongRunning {
 		return r.def.TailLatencyLimit > 0
 	}
-	return r.def.TailLatencyLimit == 0 && r.def.Estimate > 0 && r.decidedByThisLeader
+	return r.def.TailLatencyLimit == 0 && r.def.Estimate > 0
 }
 
 // isExplained reports whether a run takes longer or shorter for a reason that is known.
--- a/internal/workflow/planner/interference_test.go
+++ b/internal/workflow/planner/interference_test.go
@@ -390,3 +390,21 @@
 		place("", 8)
 	}
 }
+
+// The view of a target is made anew when it restarts, while runs that the new incarnation
+// may have go on to be counted. Losing that count ended the leader.
+func TestRestartedTargetKeepsItsNeighbours(t *testing.T) {
+	c := quicktest.New(t)
+	w := newInterferingWorld(c, 2, planner.ObserveInterference, nil)
+	var starts []*planner.StartOrder
+	for id := range definer.JobID(4) {
+		starts = append(starts, w.submit(id+1, definer.Step{Count: 1, Need: cpus(2), Image: "i1", Estimate: time.Second})...)
+	}
+	w.acceptStart(starts[0])
+	w.loseAnswer(starts[1])
+	rec := w.record(1)
+	rec.Incarnation = 2
+	w.announce(rec)
+	w.run(5*time.Second, 0)
+	c.Assert(len(w.starts) > 0, quicktest.IsTrue, quicktest.Commentf("its runs were lost and start again"))
+}
--- a/internal/workflow/planner/neighbours.go
+++ b/internal/workflow/planner/neighbours.go
@@ -102,8 +102,9 @@
 	x.placed++
 }
 
-// startNeighbour counts a run that its target has confirmed.
-func (p *Planner) startNeighbour(r *run, now Moment) {
+// startNeighbour counts a run that its target has confirmed. When a recovered run started
+// is not known.
+func (p *Planner) startNeighbour(r *run, recovered bool, now Moment) {
 	if r.image == noImage {
 		return
 	}
@@ -112,7 +113,8 @@
 		r.target.neighbours.find(r.image).started++
 		r.isNeighbour = true
 	}
-	if r.isMeasurable() {
+	r.beside = beside{}
+	if r.isMeasurable() && (!recovered || r.def.LongRunning) {
 		r.markNeighbours(now)
 	}
 }
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -354,9 +354,10 @@
 func (p *Planner) markStarted(r *run, now Moment) {
 	r.job.begun = true
 	if r.state != runStarted {
+		recovered := r.state == runRecovered
 		r.state = runStarted
 		r.startedAt = now.Monotonic
-		p.startNeighbour(r, now)
+		p.startNeighbour(r, recovered, now)
 	}
 }
 
