--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -218,10 +218,15 @@
 	return p.poolScan(pl, now).ample && (pl.shortAt.IsZero() || now.Monotonic.Sub(pl.shortAt) >= shortageMemory)
 }
 
-// noteShortage records that a step's waiting tasks have found no room in their pool.
+// noteShortage records that a step's waiting tasks have found no room in their pool. Those
+// that wait for a rack, a ticket or a certain target don't count while others have room.
 func (p *Planner) noteShortage(s *step, pl *pool, now Moment) {
-	if p.images == nil || s.rack != "" || s.job.rec.Queue.Licence.Required && len(p.poolScan(pl, now).withRoom(s.def.Charge())) > 0 {
-		return // they wait for a rack or for tickets
+	if p.images == nil || s.rack != "" {
+		return
+	}
+	constrained := !s.isUnconstrained() || s.job.rec.Queue.Licence.Required
+	if constrained && len(p.poolScan(pl, now).withRoom(s.def.Charge())) > 0 {
+		return
 	}
 	pl.shortAt = now.Monotonic
 }
