--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -215,7 +215,7 @@
 // hasAmpleRoom reports whether a pool has so much room that it does not matter for others
 // which of several targets a task takes.
 func (p *Planner) hasAmpleRoom(pl *pool, now Moment) bool {
-	return p.poolScan(pl, now).ample && (pl.shortAt.IsZero() || now.Monotonic.Sub(pl.shortAt) >= shortageMemory)
+	return p.poolScan(pl, now).isAmple() && (pl.shortAt.IsZero() || now.Monotonic.Sub(pl.shortAt) >= shortageMemory)
 }
 
 // noteShortage records that a step's waiting tasks have found no room in their pool. Those
--- a/internal/workflow/planner/interference_test.go
+++ b/internal/workflow/planner/interference_test.go
@@ -391,6 +391,29 @@
 	}
 }
 
+// One pass may fill a pool. Findings that acted until its end left smaller holes, in which
+// larger tasks of the same pass had no room.
+func TestFindingsStopWithinAPassThatFillsThePool(t *testing.T) {
+	c := quicktest.New(t)
+	w := newInterferingWorld(c, 12, planner.AvoidInterference, trueRatios)
+	w.run(20*time.Second, 50)
+	w.run(20*time.Second, 0)
+	w.nextJob = 100_000
+	submit := func(image string, tasks, cores int) {
+		w.nextJob++
+		w.submitUnchecked(w.nextJob, definer.Step{Count: tasks, Need: cpus(cores), Image: image, Estimate: time.Minute})
+	}
+	submit("", 11, 10) // 43 % of the pool remain free
+	w.plan()
+	c.Assert(w.harness.starts(), quicktest.HasLen, 11)
+	before := w.spaced
+	submit("i4", 12, 2) // interferes with itself
+	submit("", 9, 6)
+	w.plan()
+	c.Check(w.harness.starts(), quicktest.HasLen, 12+9)
+	c.Check(w.spaced > before, quicktest.IsTrue, quicktest.Commentf("the findings had no influence while there was room"))
+}
+
 // The view of a target is made anew when it restarts, while runs that the new incarnation
 // may have go on to be counted. Losing that count ended the leader.
 func TestRestartedTargetKeepsItsNeighbours(t *testing.T) {
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -146,6 +146,7 @@
 
 func (p *Planner) reserveRun(s *step, index int, number tracker.RunNumber, t *target, now Moment) *run {
 	r := p.addRun(s.job, s.def, runKey{s.id.Task(index), number}, t, runOrdered, now)
+	p.capacityTaken(t.rec.Pool, r.charge)
 	r.ticket = s.grants.text(t)
 	if s.spaced {
 		s.spaced = false
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -34,6 +34,7 @@
 	clocks        map[tracker.TargetID]time.Time
 	slow          float64 // share by which the clocks of targets run slow
 	announcements int64
+	spaced        int // sum of Round.PlacementsSpaced
 }
 
 var bounds = planner.Bounds{
@@ -103,6 +104,7 @@
 func (s *harness) plan() {
 	s.p.Plan(s.now)
 	r := s.p.Take()
+	s.spaced += r.PlacementsSpaced
 	s.events = append(s.events, r.Events...)
 	s.orders = append(s.orders, r.Immediate...)
 	s.records = append(s.records, r.LogRecords...)
--- a/internal/workflow/planner/pool_scan.go
+++ b/internal/workflow/planner/pool_scan.go
@@ -17,7 +17,8 @@
 type poolScan struct {
 	roomy      []roomyTarget    // schedulable targets, those with the most free processors first
 	infeasible []registrar.Need // needs for which none of them has capacity
-	ample      bool             // a large part of their capacity is free; not determined while interference is ignored
+	// free and capacity are the sums over them; not determined while interference is ignored.
+	free, capacity registrar.Need
 }
 
 // roomyTarget is a schedulable target with its free processors when the pass looked. A
@@ -42,20 +43,31 @@
 				v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU})
 			}
 		}
-		v.ample = p.images != nil && v.isAmple()
+		if p.images != nil {
+			v.sumCapacity()
+		}
 		slices.SortStableFunc(v.roomy, func(a, b roomyTarget) int { return cmp.Compare(b.cpu, a.cpu) })
 		p.scans[pl.name] = v
 	}
 	return v
 }
 
+func (v *poolScan) sumCapacity() {
+	for _, t := range v.roomy {
+		v.free, v.capacity = v.free.Plus(t.free()), v.capacity.Plus(t.rec.Capacity)
+	}
+}
+
 // isAmple reports whether a large part of the schedulable targets' capacity is free.
 func (v *poolScan) isAmple() bool {
-	var free, capacity registrar.Need
-	for _, t := range v.roomy {
-		free, capacity = free.Plus(t.free()), capacity.Plus(t.rec.Capacity)
+	return float64(v.free.CPU) >= ampleRoom*float64(v.capacity.CPU) && float64(v.free.Memory) >= ampleRoom*float64(v.capacity.Memory)
+}
+
+// capacityTaken is called for each placement, as one pass may fill the pool.
+func (p *Planner) capacityTaken(name definer.PoolName, need registrar.Need) {
+	if v := p.scans[name]; v != nil {
+		v.free = v.free.Minus(need)
 	}
-	return float64(free.CPU) >= ampleRoom*float64(capacity.CPU) && float64(free.Memory) >= ampleRoom*float64(capacity.Memory)
 }
 
 // withRoom returns the targets that may have capacity for a need.
