--- a/internal/workflow/planner/interference_test.go
+++ b/internal/workflow/planner/interference_test.go
@@ -56,6 +56,9 @@
 	begin   time.Time
 	tails   bool
 	noise   float64 // standard deviation of the logarithm of run times
+	cores   []int   // of tasks, one of which is drawn for each job
+	arrived map[definer.JobID]time.Time
+	waited  time.Duration // sum over all tasks
 }
 
 type worldRun struct {
@@ -76,7 +79,7 @@
 		targets: targets, ratios: ratios, speeds: make(map[tracker.TargetID]float64), running: make(map[tracker.TargetID][]*worldRun),
 		cursors: make(map[tracker.TargetID]int64), ended: make(map[tracker.TargetID][]row), random: rand.New(rand.NewPCG(1, 1)), nextJob: 1,
 		runs: make(map[string]int), beside: make(map[worldPair]int), found: make(map[worldPair]int), known: make(map[worldPair]bool),
-		noise: 0.5, images: make(map[definer.JobID]string),
+		noise: 0.5, images: make(map[definer.JobID]string), cores: []int{2}, arrived: make(map[definer.JobID]time.Time),
 	}
 	w.harness = newConfiguredHarness(c, targets, planner.Settings{Bounds: bounds, Interference: setting})
 	for n := range targets {
@@ -110,7 +113,12 @@
 	id := w.nextJob
 	w.nextJob++
 	w.images[id] = imageName(w.random.IntN(worldImages))
-	w.submitUnchecked(id, definer.Step{Count: 3, Need: cpus(2), Image: w.images[id], Estimate: worldRunTime})
+	cores := w.cores[0]
+	if len(w.cores) > 1 {
+		cores = w.cores[w.random.IntN(len(w.cores))]
+	}
+	w.arrived[id] = w.now.Monotonic
+	w.submitUnchecked(id, definer.Step{Count: 3, Need: cpus(cores), Image: w.images[id], Estimate: worldRunTime})
 }
 
 // rate returns the speed of a run beside the present others.
@@ -203,6 +211,9 @@
 	w.p.OrderReported(w.outcome(o, true), w.now)
 	id, image := o.To.Target, w.images[o.Task.Job]
 	w.runs[image]++
+	if o.Number == 1 {
+		w.waited += w.now.Monotonic.Sub(w.arrived[o.Task.Job])
+	}
 	seen := make(map[string]bool)
 	for _, other := range w.running[id] {
 		if !seen[other.image] {
