--- a/internal/load/mimic/cell.go
+++ b/internal/load/mimic/cell.go
@@ -30,6 +30,8 @@
 	// others know, so that a relay can stand in between.
 	Relayed     bool
 	Descriptors int // limit of each daemon; 0: none is declared
+	// GatewayMB and ReplicaMB are the memory of the VMs; 0: none is declared.
+	GatewayMB, ReplicaMB int
 
 	Nodes []*Node
 	zones map[string]string
@@ -73,7 +75,7 @@
 		ip := fmt.Sprintf("%s.%d", subnet, n+1)
 		node := &Node{Internal: net.JoinHostPort(ip, strconv.Itoa(firstInternal)), Metrics: net.JoinHostPort(ip, strconv.Itoa(metricsPort))}
 		listen := map[string]string{"metrics": node.Metrics}
-		serves := "control"
+		serves, memory := "control", c.ReplicaMB
 		if n < c.Replicas {
 			node.Name = fmt.Sprintf("replica-%d", n+1)
 			node.Control = net.JoinHostPort(ip, strconv.Itoa(controlPort))
@@ -84,7 +86,7 @@
 				listen["internal"] = node.Inner
 			}
 		} else {
-			serves = "edge"
+			serves, memory = "edge", c.GatewayMB
 			node.Name = fmt.Sprintf("gateway-%d", n-c.Replicas+1)
 			node.Frontend = net.JoinHostPort(ip, strconv.Itoa(frontendPort))
 			node.Readiness = net.JoinHostPort(ip, strconv.Itoa(readinessPort))
@@ -93,7 +95,7 @@
 		node.facts = codec.NodeSettings{
 			Name: node.Name, Serves: serves, IP: ip, Zone: names[n%len(names)], Zones: c.zones, Listen: listen, Ports: [2]int{firstInternal, lastInternal},
 			Bootstrap: true, DataDir: node.DataDir, LicensingAddress: c.Licences, VMServiceAddress: c.Keeper, Limits: c.Limits, Upkeep: c.Upkeep, Retention: c.Retention,
-			Descriptors: c.Descriptors,
+			Descriptors: c.Descriptors, MemoryMB: memory,
 		}
 		node.Settings = filepath.Join(c.Folder, node.Name+".json")
 		c.Nodes = append(c.Nodes, node)
