--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"masticroad/internal/daemon/budgeter"
 	"masticroad/internal/peer/acceptor"
 	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/planner"
@@ -204,6 +205,28 @@
 	m.connections(name, "open", "Connections that are open.", func() float64 { return float64(stats().Open) })
 	m.connections(name, "idle", "Connections without a request.", func() float64 { return float64(stats().Idle) })
 	m.connections(name, "closed_for_room_total", "Idle connections that were closed for another one.", func() float64 { return float64(stats().ClosedForRoom) })
+	m.connections(name, "cut_for_room_total", "Connections that were closed inside a request for another one.", func() float64 { return float64(stats().CutForRoom) })
+}
+
+// Memory adds the gauges and counters of the memory for requests.
+func (m *Meter) Memory(stats func() budgeter.Stats) {
+	if m == nil {
+		return
+	}
+	gauge := func(name, help string, value func(budgeter.Stats) float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: "request_memory", Name: name, Help: help},
+			func() float64 { return value(stats()) }))
+	}
+	gauge("total_bytes", "Memory for requests of callers.", func(s budgeter.Stats) float64 { return float64(s.Total) })
+	gauge("taken_bytes", "Memory that requests take now.", func(s budgeter.Stats) float64 { return float64(s.Taken) })
+	gauge("taken_most_bytes", "Most memory that requests have taken.", func(s budgeter.Stats) float64 { return float64(s.HighWater) })
+	gauge("waiting", "Requests that wait for memory.", func(s budgeter.Stats) float64 { return float64(s.Waiting) })
+	for reason, err := range budgeter.Reasons() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: "request_memory", Name: "refused_total", Help: "Requests that were refused or cut for want of memory, by reason.",
+			ConstLabels: prometheus.Labels{"reason": reason},
+		}, func() float64 { return float64(stats().Refusals[err]) }))
+	}
 }
 
 func (m *Meter) connections(purpose, name, help string, value func() float64) {
