--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -13,16 +13,24 @@
 // planner; calls that read it wait until the read is linearizable.
 
 // Handle serves a call. It calls reply once, from any goroutine; reply must not
-// block.
+// block. Calls beyond MaxWaitingBytes are not taken in.
 func (c *Coordinator) Handle(ctx context.Context, msg leader.Call, reply func(leader.Reply)) {
+	if size := int64(msg.Bytes()); c.waitingBytes.Add(size) > max(size, int64(c.MaxWaitingBytes)) && c.MaxWaitingBytes > 0 {
+		c.waitingBytes.Add(-size)
+		// It may be the repetition of a call that was taken in.
+		reply(leader.Reply{ID: msg.ID, Verdict: planner.Uncertain, Reason: "too many calls wait for the leader"})
+		return
+	}
 	select {
 	case c.inputs <- input{call: &call{msg, reply}}:
 	case <-ctx.Done():
+		c.waitingBytes.Add(-int64(msg.Bytes()))
 		reply(leader.Reply{ID: msg.ID, Verdict: planner.Uncertain, Reason: "the daemon ends"})
 	}
 }
 
 func (c *Coordinator) handleCall(req *call, now planner.Moment) {
+	c.waitingBytes.Add(-int64(req.Bytes()))
 	answer := func(a planner.Answer) {
 		req.reply(leader.Reply{ID: req.ID, Verdict: a.Verdict, RetryAfter: a.RetryAfter, Reason: a.Reason})
 	}
--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -63,6 +63,9 @@
 	// MaxAnnouncers bounds the targets that are told to announce themselves at the
 	// leader. 0: no bound.
 	MaxAnnouncers int
+	// MaxWaitingBytes bounds the calls that wait to be decided, about. A single one may
+	// be larger. 0: no bound.
+	MaxWaitingBytes int
 	// ActAs is the latest format that this replica follows; see tracker.State.Known. nil:
 	// tracker.CurrentFormat.
 	ActAs *tracker.Format
@@ -73,6 +76,7 @@
 	ctx             context.Context // of Run
 	state           *tracker.State  // committed
 	inputs          chan input
+	waitingBytes    atomic.Int64 // of the calls in inputs and pendingInputs
 	status          replicator.Status
 	leading         atomic.Bool
 	term            registrar.Term
@@ -285,6 +289,7 @@
 func (c *Coordinator) rejectInput(in input) {
 	switch {
 	case in.call != nil:
+		c.waitingBytes.Add(-int64(in.call.Bytes()))
 		in.call.reply(leader.Reply{ID: in.call.ID, Verdict: planner.Uncertain, Reason: "this daemon does not lead"})
 	case in.attach != nil:
 		if in.attach.watchOnly {
--- a/internal/daemon/relayer/relayer.go
+++ b/internal/daemon/relayer/relayer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -25,6 +26,9 @@
 	streamTimeout = time.Second            // without a message from the leader
 	retryDelay    = 60 * time.Millisecond  // between attempts to connect to a daemon: four round trips between regions
 	linkQueueSize = 1024
+	// maxLinkBytes bounds the calls in the queue of a link, also of those whose callers
+	// have left. A link that stands still ends after streamTimeout.
+	maxLinkBytes = 8 << 20
 )
 
 // Local is the coordinator of this daemon, if it has one.
@@ -66,6 +70,7 @@
 type link struct {
 	address string
 	queue   chan *leader.Up
+	bytes   atomic.Int64 // of the calls in queue
 	cancel  context.CancelFunc
 }
 
@@ -232,17 +237,23 @@
 	*sent = *sent || p.sent
 }
 
-// send queues a call on the current link and reports whether it did. If the queue
-// is full, it cancels the link. The mutex is held.
+// send queues a call on the current link and reports whether it did. A call beyond
+// maxLinkBytes is not queued. If the queue is full, it cancels the link. The mutex is held.
 func (r *Relayer) send(call leader.Call) bool {
-	if r.currentLink == nil {
+	l := r.currentLink
+	if l == nil {
+		return false
+	}
+	size := int64(call.Bytes())
+	if l.bytes.Add(size) > max(size, maxLinkBytes) {
+		l.bytes.Add(-size)
 		return false
 	}
 	select {
-	case r.currentLink.queue <- &leader.Up{Calls: []leader.Call{call}}:
+	case l.queue <- &leader.Up{Calls: []leader.Call{call}}:
 		return true
 	default:
-		r.currentLink.cancel()
+		l.cancel()
 		return false
 	}
 }
@@ -374,6 +385,11 @@
 		m.Calls = append(m.Calls, next.Calls...)
 		m.Tickets = append(m.Tickets, next.Tickets...)
 	}
+	size := 0
+	for i := range m.Calls {
+		size += m.Calls[i].Bytes()
+	}
+	l.bytes.Add(-int64(size))
 }
 
 func (r *Relayer) receive(ctx context.Context, stream *leader.ClientStream, l *link, received chan<- struct{}) error {
--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -48,6 +48,8 @@
 	// MaxTargetConnections and MaxControlConnections bound the connections to targets
 	// and those that targets open for their announcements. 0: no bound.
 	MaxTargetConnections, MaxControlConnections int
+	// MaxWaitingBytes bounds the calls that wait at the leader. 0: no bound.
+	MaxWaitingBytes int
 	// ActAs makes the daemon act as a version whose latest format it is, for tests of
 	// upgrades; nil: the present one.
 	ActAs *tracker.Format
@@ -148,7 +150,7 @@
 		Node: s.node, Clock: s.clock, Log: s.Log.Named("coordinator"), Dispatcher: s.dispatcher, Name: planner.LicenceProxyID(s.Settings.Name),
 		Planner:  &planner.Planner{Settings: planner.Settings{Bounds: s.Settings.Bounds, Region: s.Settings.Region, Holder: s.Settings.Name}, Limits: s.Settings.limits()},
 		MaxBytes: cmp.Or(s.Settings.SnapshotBytes, snapshotBytes), OnLeaderChange: s.Relayer.UpdateLeader, Meter: s.Meter, MaxAnnouncers: s.Settings.MaxControlConnections / 2,
-		ActAs: s.Settings.ActAs,
+		ActAs: s.Settings.ActAs, MaxWaitingBytes: s.Settings.MaxWaitingBytes,
 	}
 	s.coordinator.Open(ctx)
 	s.dispatcher.Report = s.coordinator.Report
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -117,6 +117,30 @@
 	return ""
 }
 
+// Bytes returns about how much memory a call takes.
+func (c *Call) Bytes() int {
+	n := callBytes
+	switch {
+	case c.Submit != nil && c.Submit.Job != nil:
+		n += len(c.Submit.Job.Spec) + len(c.Submit.Path)
+		for i := range c.Submit.Job.Steps {
+			n += stepBytes + 8*len(c.Submit.Job.Steps[i].DependsOn)
+		}
+	case c.Put != nil:
+		n += 2 * len(c.Put.Source) // its text and what is made of it
+	case c.Wave != nil:
+		n += vmBytes * len(c.Wave.VMs)
+	}
+	return n
+}
+
+// Sizes without what varies most.
+const (
+	callBytes = 300
+	stepBytes = 400 // with names of usual length
+	vmBytes   = 40
+)
+
 // Place is the host and path of a caller's call.
 type Place struct {
 	Host string `cbor:"1,keyasint"`
--- a/internal/peer/replica/server.go
+++ b/internal/peer/replica/server.go
@@ -25,6 +25,8 @@
 	keepaliveTimeout    = 3 * time.Second
 	gracefulStopTimeout = time.Second
 	windowSize          = 1 << 20
+	handshakeTimeout    = 5 * time.Second // other programs may connect and say nothing
+	maxHeaderListBytes  = 64 << 10
 )
 
 // Server serves the protocol. The exported fields are set before Run.
@@ -44,6 +46,8 @@
 		grpc.MaxRecvMsgSize(maxMessage),
 		grpc.InitialWindowSize(windowSize),
 		grpc.InitialConnWindowSize(windowSize),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.MaxHeaderListSize(maxHeaderListBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 	}
--- a/internal/workflow/definer/check.go
+++ b/internal/workflow/definer/check.go
@@ -82,6 +82,10 @@
 	if s.MaxPerTarget < 0 || s.MaxUnavailable < 0 || s.TailLatencyLimit < 0 {
 		fs.Add(place, "has a negative bound")
 	}
+	if len(s.DependsOn) > MaxSteps {
+		fs.Add(place+".DependsOn", "has %d entries, at most %d are allowed", len(s.DependsOn), MaxSteps)
+		return
+	}
 	for k, d := range s.DependsOn {
 		if d < 0 || d >= i {
 			fs.Add(fmt.Sprintf("%s.DependsOn[%d]", place, k), "step %d is not an earlier step", d)
