--- a/internal/cli/commander/serve.go
+++ b/internal/cli/commander/serve.go
@@ -27,7 +27,7 @@
 			if err != nil {
 				return err
 			}
-			debug.SetMemoryLimit(int64(settings.SoftMemory))
+			debug.SetMemoryLimit(int64(settings.SoftMemory - settings.SoftMemory/softMargin))
 			r := &runner.Runner{Settings: settings, Log: newLog(settings, s), Now: time.Now}
 			return failed(r.Run(cmd.Context()))
 		},
@@ -36,6 +36,10 @@
 	return cmd
 }
 
+// softMargin is the share of SoftMemory by which the runtime may exceed its limit for a
+// moment: an eighth.
+const softMargin = 8
+
 func settingsFlag(cmd *cobra.Command, path *string) {
 	cmd.Flags().StringVar(path, "settings", "", "settings file (INI)")
 	if err := cmd.MarkFlagRequired("settings"); err != nil {
--- a/internal/daemon/gateway/gateway.go
+++ b/internal/daemon/gateway/gateway.go
@@ -43,6 +43,9 @@
 	WithoutLeaseCheck bool
 	// OnRequestDone, when set, is called for each finished request.
 	OnRequestDone func(Observation)
+	// MaxHeldBytes bounds the bodies of requests that have no result, also of those
+	// whose callers have left. 0: no bound.
+	MaxHeldBytes int
 
 	mu              sync.Mutex
 	lease           leaser.Lease
@@ -51,6 +54,7 @@
 	outbox          decider.Upstream
 	wake            chan struct{}
 	pending         map[registrar.RequestKey]*pending
+	heldBytes       int // of the bodies in pending
 	attempts        map[decider.TaskAttempt]*attempt
 	assignedAt      map[decider.TaskAttempt]time.Time // of assignments, kept for assignmentRetention
 	reports         map[decider.TaskAttempt]decider.Report
--- a/internal/daemon/gateway/request.go
+++ b/internal/daemon/gateway/request.go
@@ -90,6 +90,10 @@
 	if g.closed || !g.leased() {
 		return nil, &Result{Unavailable: true, Reason: "this daemon takes no new work now", RetryAfter: time.Second}
 	}
+	if g.MaxHeldBytes > 0 && g.heldBytes+len(r.Body) > g.MaxHeldBytes {
+		return nil, &Result{Unavailable: true, Reason: "this daemon holds too many bytes of requests", RetryAfter: time.Second}
+	}
+	g.heldBytes += len(r.Body)
 	p := &pending{request: r, arrived: g.Now(), done: make(chan struct{}), waiters: 1}
 	g.pending[key] = p
 	g.waitingCalls++
@@ -145,6 +149,7 @@
 		return
 	}
 	delete(g.pending, key)
+	g.heldBytes -= len(p.request.Body)
 	p.result = &result
 	close(p.done)
 	if result.Outcome == registrar.Done {
--- a/internal/daemon/runner/metrics.go
+++ b/internal/daemon/runner/metrics.go
@@ -2,7 +2,9 @@
 
 import (
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/budgeter"
 	"masticroad/internal/daemon/identifier"
+	"masticroad/internal/peer/acceptor"
 	"masticroad/internal/peer/replica"
 	"masticroad/internal/state/replicator"
 )
@@ -63,3 +65,19 @@
 	m.Counter("control_bytes_total", "Bytes between daemons.", map[string]string{"direction": "sent"}, func() float64 { return float64(r.traffic.Sent.Load()) })
 	m.Counter("control_bytes_total", "Bytes between daemons.", map[string]string{"direction": "received"}, func() float64 { return float64(r.traffic.Received.Load()) })
 }
+
+// registerRequestMetrics adds the metrics of connections and of the memory for requests.
+func (r *Runner) registerRequestMetrics(l *acceptor.Listener) {
+	m := r.metrics
+	m.Gauge("connections_open", "Connections of callers, targets and operators.", func() float64 { return float64(l.Stats().Open) })
+	m.Counter("connections_closed_for_room_total", "Idle connections that were closed for another one.", nil, func() float64 { return float64(l.Stats().ClosedForRoom) })
+	m.Counter("connections_cut_for_room_total", "Connections that were closed inside a request for another one.", nil, func() float64 { return float64(l.Stats().CutForRoom) })
+	m.Gauge("request_memory_total_bytes", "Memory for requests.", func() float64 { return float64(r.budget.Total) })
+	m.Gauge("request_memory_taken_bytes", "Memory that requests take now.", func() float64 { return float64(r.budget.Stats().Taken) })
+	m.Gauge("request_memory_taken_most_bytes", "Most memory that requests have taken.", func() float64 { return float64(r.budget.Stats().HighWater) })
+	m.Gauge("request_memory_waiting", "Requests that wait for memory.", func() float64 { return float64(r.budget.Stats().Waiting) })
+	for reason, err := range budgeter.Reasons() {
+		m.Counter("request_memory_refused_total", "Requests that were refused or cut for want of memory, by reason.", map[string]string{"reason": reason},
+			func() float64 { return float64(r.budget.Stats().Refusals[err]) })
+	}
+}
--- a/internal/daemon/runner/open.go
+++ b/internal/daemon/runner/open.go
@@ -10,6 +10,7 @@
 
 	"masticroad/internal/control/decider"
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/budgeter"
 	"masticroad/internal/daemon/controller"
 	"masticroad/internal/daemon/gateway"
 	"masticroad/internal/metrics/recorder"
@@ -27,6 +28,7 @@
 func (r *Runner) open() error {
 	r.incarnation = registrar.Incarnation(r.Now().UnixNano())
 	r.traffic = &replica.Traffic{}
+	r.budget = &budgeter.Budget{Total: budgeter.Bytes(r.Settings.RequestBytes())}
 	r.metrics = recorder.New()
 	r.httpReady = make(chan struct{})
 	r.nodeDone = make(chan struct{})
@@ -131,7 +133,7 @@
 		},
 		Client: r.client, Targets: targets, Log: r.Log.Named("gateway"), Now: r.Now,
 		View: r.controller.View, Leader: r.leader, OnRequestDone: r.metrics.Observe, Read: r.controller.Read,
-		Term: func() registrar.Term { return r.node.Status().Term },
+		Term: func() registrar.Term { return r.node.Status().Term }, MaxHeldBytes: r.Settings.RequestBytes() / 2,
 	}
 	r.gateway.Open()
 	r.operators = &operator.Service{
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/credentials"
 
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/daemon/budgeter"
 	"masticroad/internal/daemon/controller"
 	"masticroad/internal/daemon/gateway"
 	"masticroad/internal/daemon/identifier"
@@ -49,6 +50,7 @@
 	operators   *operator.Service
 	metrics     *recorder.Recorder
 	traffic     *replica.Traffic
+	budget      *budgeter.Budget // for requests of callers, targets and operators
 	identity    storer.Identity
 	saved       replicator.StoredState
 	router      *region.Router // nil in a cell with a single log
@@ -62,6 +64,8 @@
 const (
 	readHeaderTimeout    = 10 * time.Second
 	idleTimeout          = 2 * time.Minute
+	refusalInterval      = time.Second // between log lines about refused requests
+	maxHeaderBytes       = 16 << 10    // the server adds 4 KB
 	transferPollInterval = 30 * time.Millisecond
 	transferTimeout      = 2 * time.Second
 	taskIDBits           = 40 // low bits of a task id; the bits above them hold the number of the log's group
@@ -133,6 +137,9 @@
 	server := &replica.Server{Handler: handler{r}, Listener: r.Replica, Credentials: r.creds, Traffic: r.traffic}
 	go func() { failed <- errors.Annotate(server.Run(ctx), "replica server") }()
 	go func() { failed <- r.serveHTTP() }()
+	go r.budget.Watch(ctx, refusalInterval, func(refused int, s budgeter.Stats) {
+		r.Log.Warn("requests refused for want of memory", "count", refused, "taken", int64(s.Taken), "total", int64(s.Total), "waiting", s.Waiting)
+	})
 }
 
 // stop performs a planned stop.
--- a/internal/daemon/runner/serve.go
+++ b/internal/daemon/runner/serve.go
@@ -8,9 +8,11 @@
 	"github.com/juju/errors"
 	"github.com/kataras/iris/v12"
 
+	"masticroad/internal/peer/acceptor"
 	"masticroad/internal/peer/balancer"
 	"masticroad/internal/peer/caller"
 	"masticroad/internal/peer/operator"
+	"masticroad/internal/peer/receiver"
 	"masticroad/internal/peer/region"
 	"masticroad/internal/peer/replica"
 	"masticroad/internal/peer/target"
@@ -27,9 +29,15 @@
 		return errors.Annotate(err, "daemon: HTTP routes")
 	}
 	r.httpHandler.Store(&handlerBox{app})
-	r.httpServer = &http.Server{Handler: app, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	l := acceptor.New(r.HTTP, r.Settings.Connections)
+	l.Budget = r.budget
+	r.httpServer = &http.Server{
+		Handler: l.Handler(app), ConnState: l.ConnState, ConnContext: l.ConnContext, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	r.registerRequestMetrics(l)
 	close(r.httpReady)
-	err := r.httpServer.Serve(r.HTTP)
+	err := r.httpServer.Serve(l)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
@@ -39,12 +47,13 @@
 func (r *Runner) routes(app *iris.Application) {
 	s := r.Settings
 	app.UseRouter(r.closeConnectionsOnStop)
+	bodies := &receiver.Receiver{Timeout: s.BodyTimeout}
 	callers := &caller.Server{
 		Gateway: r.gateway, View: r.controller.View, Operator: r.operators, Now: r.Now,
-		MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, BodyTimeout: s.BodyTimeout,
+		MaxBody: s.MaxBody, MaxInFlight: s.MaxInFlight, Receiver: bodies,
 	}
 	if r.router != nil {
-		home := &region.Home{Router: r.router, OwnsToken: r.isCallerToken, MaxBody: int64(s.MaxBody) * 2, Now: r.Now}
+		home := &region.Home{Router: r.router, OwnsToken: r.isCallerToken, MaxBody: int64(s.MaxBody) * 2, Receiver: bodies, Now: r.Now}
 		app.UseRouter(func(ctx iris.Context) {
 			if strings.HasPrefix(ctx.Path(), "/v1/requests") || strings.HasPrefix(ctx.Path(), "/v1/jobs") {
 				home.Handle(ctx)
@@ -58,9 +67,9 @@
 	for _, o := range s.Operators {
 		tokens[o.TokenDigest] = o.Name
 	}
-	operators := &operator.Server{Service: r.operators, Tokens: tokens}
+	operators := &operator.Server{Service: r.operators, Tokens: tokens, Receiver: bodies}
 	operators.Routes(app)
-	targets := &target.Server{Announcer: r.gateway}
+	targets := &target.Server{Announcer: r.gateway, Receiver: bodies}
 	if r.router != nil {
 		targets.Home = r.relayAnnouncement
 	}
--- a/internal/peer/caller/fields.go
+++ b/internal/peer/caller/fields.go
@@ -12,6 +12,7 @@
 
 	"masticroad/internal/control/decider"
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/peer/scanner"
 	"masticroad/internal/settings/collector"
 )
 
@@ -36,6 +37,7 @@
 	maxMemoryMiB    = 1 << 30
 	maxAccelerators = 1 << 16
 	maxRetries      = 100
+	maxFields       = 64 // of a body; each unknown one is a finding
 )
 
 type bodyField[T any] struct {
@@ -82,6 +84,9 @@
 
 // readFields reads a JSON object by a table of fields.
 func readFields[T any](data []byte, fields []bodyField[T], required []string, to *T) []Finding {
+	if n := scanner.Entries(data); n > maxFields {
+		return []Finding{{"", fmt.Sprintf("%d fields", n), fmt.Sprintf("at most %d fields", maxFields)}}
+	}
 	var raw map[string]json.RawMessage
 	if err := json.Unmarshal(data, &raw); err != nil {
 		return []Finding{{"", "not a JSON object: " + err.Error(), ""}}
--- a/internal/peer/caller/server.go
+++ b/internal/peer/caller/server.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,6 +22,7 @@
 	"masticroad/internal/daemon/controller"
 	"masticroad/internal/daemon/gateway"
 	"masticroad/internal/peer/operator"
+	"masticroad/internal/peer/receiver"
 )
 
 // This file implements the HTTP interface. Each answer carries the typed outcome;
@@ -36,7 +36,7 @@
 	Now         func() time.Time
 	MaxBody     int
 	MaxInFlight int
-	BodyTimeout time.Duration
+	Receiver    *receiver.Receiver
 
 	slots          chan struct{}
 	nonUrgentSlots chan struct{} // for requests that are not urgent
@@ -159,29 +159,35 @@
 	}
 }
 
-// readBody reads the body within BodyTimeout and the size limit.
+// readBody reads the body, and takes room for its decoded form until the request is
+// answered.
 func (s *Server) readBody(ctx iris.Context) ([]byte, bool) {
-	control := http.NewResponseController(ctx.ResponseWriter().Naive())
-	_ = control.SetReadDeadline(time.Now().Add(s.BodyTimeout)) // some writers don't support it
 	limit := int64(s.MaxBody)*base64SizePercent/100 + maxOtherFieldBytes
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
+	w := ctx.ResponseWriter().Naive()
+	data, err := s.Receiver.Read(w, ctx.Request(), limit)
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{}) // a failed read keeps the deadline, so that the rest of the body is not waited for
-	} else {
-		ctx.Header("Connection", "close")
+		_, err = receiver.Charge(ctx.Request(), int64(len(data))*decodedSize)
 	}
-	var large *http.MaxBytesError
 	switch {
-	case errors.As(err, &large):
-		write(ctx, http.StatusRequestEntityTooLarge, Answer{Reason: fmt.Sprintf("the body is larger than %d bytes", s.MaxBody)})
-		return nil, false
-	case err != nil:
+	case err == nil:
+		return data, true
+	case errors.Is(err, receiver.ErrLate) || errors.Is(err, receiver.ErrBroken):
 		write(ctx, http.StatusRequestTimeout, Answer{Reason: "the body did not arrive whole in time"})
 		return nil, false
 	}
-	return data, true
+	a := Answer{Reason: err.Error(), RetryAfter: receiver.RetryAfter.String()}
+	status := receiver.Status(w, err)
+	if status == http.StatusRequestEntityTooLarge {
+		a = Answer{Reason: fmt.Sprintf("the body is larger than %d bytes", s.MaxBody)}
+	}
+	write(ctx, status, a)
+	return nil, false
 }
 
+// decodedSize is the size of a decoded body in times of its text: its fields, and the
+// body for the target.
+const decodedSize = 2
+
 // base64SizePercent is the size of base64 in percent of the bytes it holds.
 const base64SizePercent = 137
 
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -7,7 +7,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"io"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
@@ -15,6 +15,8 @@
 	"github.com/kataras/iris/v12"
 
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/peer/receiver"
+	"masticroad/internal/peer/scanner"
 )
 
 // This file implements the HTTP interface for operators.
@@ -25,12 +27,15 @@
 	Service *Service
 	// Tokens maps the digests of operators' tokens to their names. If it is
 	// empty, no authentication takes place.
-	Tokens map[string]string
+	Tokens   map[string]string
+	Receiver *receiver.Receiver
 }
 
 const (
 	maxCallBytes = 8 << 20
-	callTimeout  = 12 * time.Second
+	// maxCallValues bounds the decoded form: an operation of 3 bytes becomes 100.
+	maxCallValues = 200_000
+	callTimeout   = 12 * time.Second
 )
 
 // Routes adds the interface to an application.
@@ -63,7 +68,7 @@
 func (s *Server) statement(ctx iris.Context) {
 	var call StatementCall
 	name, ok := s.authenticate(ctx)
-	if !ok || !read(ctx, &call) {
+	if !ok || !s.read(ctx, &call) {
 		return
 	}
 	call.Operator = name
@@ -81,7 +86,7 @@
 func (s *Server) change(ctx iris.Context) {
 	var call ChangeCall
 	name, ok := s.authenticate(ctx)
-	if !ok || !read(ctx, &call) {
+	if !ok || !s.read(ctx, &call) {
 		return
 	}
 	call.Operator = name
@@ -121,9 +126,19 @@
 	}
 }
 
-func read(ctx iris.Context, to any) bool {
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxCallBytes))
+func (s *Server) read(ctx iris.Context, to any) bool {
+	w := ctx.ResponseWriter().Naive()
+	data, err := s.Receiver.Read(w, ctx.Request(), maxCallBytes)
 	if err == nil {
+		_, err = receiver.Charge(ctx.Request(), int64(len(data))/2) // the decoded form is smaller than the text, which is kept
+	}
+	if err != nil {
+		write(ctx, receiver.Status(w, err), &Reply{Findings: []string{"the call can't be read: " + err.Error()}})
+		return false
+	}
+	if n := scanner.Values(data); n > maxCallValues {
+		err = fmt.Errorf("%d values, at most %d are allowed", n, maxCallValues)
+	} else {
 		err = json.Unmarshal(data, to)
 	}
 	if err != nil {
--- a/internal/peer/region/home.go
+++ b/internal/peer/region/home.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/kataras/iris/v12"
 
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/peer/receiver"
 	"masticroad/internal/peer/replica"
 )
 
@@ -27,6 +27,7 @@
 	// OwnsToken reports whether a token's digest belongs to a caller of this region.
 	OwnsToken func(digest string) bool
 	MaxBody   int64
+	Receiver  *receiver.Receiver
 	Now       func() time.Time
 
 	mu    sync.Mutex
@@ -62,7 +63,7 @@
 	}
 	call, err := h.relayCallOf(ctx)
 	if err != nil {
-		ctx.StatusCode(http.StatusRequestEntityTooLarge)
+		ctx.StatusCode(receiver.Status(ctx.ResponseWriter().Naive(), err))
 		return
 	}
 	h.relay(ctx, digest, known, call)
@@ -96,10 +97,13 @@
 }
 
 func (h *Home) relayCallOf(ctx iris.Context) (*replica.RelayCall, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, h.MaxBody))
+	body, err := h.Receiver.Read(ctx.ResponseWriter().Naive(), ctx.Request(), h.MaxBody)
 	if err != nil {
 		return nil, err
 	}
+	if _, err := receiver.Charge(ctx.Request(), int64(len(body))); err != nil { // the message to the other region
+		return nil, err
+	}
 	u := ctx.Request().URL
 	call := &replica.RelayCall{Method: ctx.Method(), Path: u.Path, Query: u.RawQuery, Body: body, Header: make(map[string]string)}
 	for _, name := range relayedHeaders {
--- a/internal/peer/target/server.go
+++ b/internal/peer/target/server.go
@@ -4,13 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 
 	"github.com/kataras/iris/v12"
 
 	"masticroad/internal/control/registrar"
+	"masticroad/internal/peer/receiver"
+	"masticroad/internal/peer/scanner"
 )
 
 // This file serves the announcements of targets.
@@ -24,13 +25,22 @@
 // Server serves announcements. The exported fields are set before Routes.
 type Server struct {
 	Announcer Announcer
+	Receiver  *receiver.Receiver
 	// Home, when set, forwards an announcement to the target's home region; known
 	// is false when that is this region. Each target is recorded in one region's
 	// log, so that its capacity is charged once.
 	Home func(ctx context.Context, region registrar.RegionName, body []byte) (status int, reply []byte, known bool)
 }
 
-const maxAnnouncementBytes = 1 << 20
+const (
+	maxAnnouncementBytes = 1 << 20
+	// maxAnnouncementValues bounds the decoded form: a run of 3 bytes becomes 150. The
+	// runs of a target have ten values each.
+	maxAnnouncementValues = 50_000
+	// announcementCost is how many times its size an announcement takes beside its text:
+	// within the bound of values, lists that double while they are decoded.
+	announcementCost = 8
+)
 
 // Routes adds the interface to an application.
 func (s *Server) Routes(app *iris.Application) {
@@ -38,11 +48,17 @@
 }
 
 func (s *Server) announce(ctx iris.Context) {
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxAnnouncementBytes))
-	var a Announcement
+	w := ctx.ResponseWriter().Naive()
+	data, err := s.Receiver.Read(w, ctx.Request(), maxAnnouncementBytes)
 	if err == nil {
-		a, err = ParseAnnouncement(data)
+		_, err = receiver.Charge(ctx.Request(), int64(len(data))*announcementCost)
 	}
+	if err != nil {
+		ctx.StatusCode(receiver.Status(w, err))
+		_, _ = ctx.WriteString("announcement: " + err.Error() + "\n") // the target may have disconnected
+		return
+	}
+	a, err := ParseAnnouncement(data)
 	if err != nil {
 		ctx.StatusCode(http.StatusBadRequest)
 		_, _ = ctx.WriteString("announcement: " + err.Error() + "\n") // the target may have disconnected
@@ -72,6 +88,9 @@
 // ParseAnnouncement decodes and validates an announcement.
 func ParseAnnouncement(data []byte) (Announcement, error) {
 	var a Announcement
+	if n := scanner.Values(data); n > maxAnnouncementValues {
+		return a, fmt.Errorf("%d values, at most %d are allowed", n, maxAnnouncementValues)
+	}
 	if err := json.Unmarshal(data, &a); err != nil {
 		return a, err
 	}
--- a/internal/settings/loader/fields.go
+++ b/internal/settings/loader/fields.go
@@ -41,7 +41,9 @@
 	{"Limits", "MaxInFlight", "1024", false, "a whole number from 1", "requests that this daemon holds at once", setNumber(1, func(s *Settings) *int { return &s.MaxInFlight })},
 	{"Limits", "TargetConnections", "64", false, "a whole number from 1", "connections from this daemon to one target", setNumber(1, func(s *Settings) *int { return &s.TargetConnections })},
 	{"Limits", "StopGrace", "30s", false, "a duration", "time for requests in flight at a planned stop", setDuration(func(s *Settings) *time.Duration { return &s.StopGrace })},
-	{"Limits", "SoftMemory", "41943040", false, "bytes from 16777216", "memory of the runtime above which it collects garbage more often; resident memory is about 20 MB more", setNumber(16<<20, func(s *Settings) *int { return &s.SoftMemory })},
+	{"Limits", "SoftMemory", "41943040", false, "bytes from 16777216", "memory of the runtime above which it collects garbage more often; resident memory stays below it and 24 MB more, as long as Connections times 24 KB and RequestMemory fit into it with the 15 MB of an idle daemon", setNumber(16<<20, func(s *Settings) *int { return &s.SoftMemory })},
+	{"Limits", "RequestMemory", "0", false, "bytes from 4194304; 0: two fifths of SoftMemory", "memory that requests of callers, targets and operators take at once; beyond it they wait, and are then refused with 503", setRequestMemory},
+	{"Limits", "Connections", "2048", false, "a whole number from 16", "connections of callers, targets and operators; beyond them idle ones are closed, or those that have been inside a request for seconds", setNumber(16, func(s *Settings) *int { return &s.Connections })},
 	{"Limits", "DrainPause", "1s", false, "several times the interval at which the balancer asks", "time at a planned stop for the balancer to see that the daemon is not ready", setDuration(func(s *Settings) *time.Duration { return &s.DrainPause })},
 	{"Limits", "BodyTimeout", "10s", false, "a duration", "time in which the body of a request must arrive", setDuration(func(s *Settings) *time.Duration { return &s.BodyTimeout })},
 	{"Timing", "Heartbeat", "100ms", false, "a duration", "time between a leader's messages to a voter", setDuration(func(s *Settings) *time.Duration { return &s.Heartbeat })},
@@ -59,6 +61,16 @@
 	{"Log", "Format", "text", false, "text, json", "form of the log", setChoice([]string{"text", "json"}, func(s *Settings) *string { return &s.LogFormat })},
 }
 
+// leastRequestMemory holds a body of the default MaxBody.
+const leastRequestMemory = 4 << 20
+
+func setRequestMemory(s *Settings, text string) error {
+	if text == "0" {
+		return nil
+	}
+	return setNumber(leastRequestMemory, func(s *Settings) *int { return &s.RequestMemory })(s, text)
+}
+
 // userKeyedSections are sections whose keys are names chosen by the user.
 var userKeyedSections = []string{"Peers", "Operators", "Regions"}
 
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -42,6 +42,8 @@
 	BodyTimeout       time.Duration
 	DrainPause        time.Duration
 	SoftMemory        int
+	RequestMemory     int // 0: a part of SoftMemory
+	Connections       int
 
 	Heartbeat    time.Duration
 	ElectionMin  time.Duration
@@ -57,6 +59,14 @@
 	LogLevel, LogFormat string
 }
 
+// RequestBytes returns the memory for requests. Of SoftMemory, an idle daemon uses 15 MB.
+func (s *Settings) RequestBytes() int {
+	if s.RequestMemory > 0 {
+		return s.RequestMemory
+	}
+	return s.SoftMemory * 2 / 5
+}
+
 // Peer is a daemon of the cell, including the local one.
 type Peer struct {
 	Name    registrar.DaemonName
--- a/test/memory/memory_test.go
+++ b/test/memory/memory_test.go
@@ -229,7 +229,7 @@
 	address := freeAddress(c)
 	settings := filepath.Join(folder, "cell.ini")
 	text := fmt.Sprintf("[Cell]\nName = memory\nVoters = vm1\n[Daemon]\nName = vm1\nRegion = r1\nZone = a\nListenHTTP = %s\nListenReplica = %s\n"+
-		"[Peers]\nvm1 = 127.0.0.1:1\n[Storage]\nDataFolder = %s\n[Limits]\nSoftMemory = %d\n", address, freeAddress(c), filepath.Join(folder, "vm1"), softMemory)
+		"[Peers]\nvm1 = 127.0.0.1:1\n[Storage]\nDataFolder = %s\n[Limits]\nSoftMemory = %d\nConnections = %d\n", address, freeAddress(c), filepath.Join(folder, "vm1"), softMemory, serveFiles-100)
 	c.Assert(os.WriteFile(settings, []byte(text), 0o644), quicktest.IsNil)
 	out, err := exec.Command(program, "init", "--settings", settings).CombinedOutput()
 	c.Assert(err, quicktest.IsNil, quicktest.Commentf("%s", out))
