--- a/internal/daemon/budgeter/budgeter.go
+++ b/internal/daemon/budgeter/budgeter.go
@@ -7,6 +7,7 @@
 	"container/list"
 	"context"
 	"errors"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -48,14 +49,19 @@
 type Budget struct {
 	Total Bytes
 
-	mu        sync.Mutex
-	taken     Bytes
-	aborted   Bytes     // of taken, by rooms that are about to be released
-	reading   list.List // of *Room with incomplete requests that wait for their callers, the one whose last growth is longest ago first
-	small     list.List // of *waiter
-	large     list.List // of *waiter
-	refusals  map[error]int
-	highWater Bytes
+	mu    sync.Mutex
+	taken Bytes
+	// returned is the part of taken that large rooms have returned and that is not
+	// collected as garbage yet. Without it, requests that are begun and cut one after the
+	// other would allocate faster than the runtime collects.
+	returned   Bytes
+	collecting bool
+	aborted    Bytes     // of taken, by rooms that are about to be released
+	reading    list.List // of *Room with incomplete requests that wait for their callers, the one whose last growth is longest ago first
+	small      list.List // of *waiter
+	large      list.List // of *waiter
+	refusals   map[error]int
+	highWater  Bytes
 }
 
 // Room is what one connection takes of a budget. A nil Room is unbounded.
@@ -78,6 +84,7 @@
 // Stats are the gauges and counters of a budget.
 type Stats struct {
 	Total, Taken, HighWater Bytes
+	Returned                Bytes // not collected as garbage yet; not in Taken
 	Waiting                 int
 	Refusals                map[error]int
 }
@@ -86,7 +93,7 @@
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := Stats{Total: b.Total, Taken: b.taken, HighWater: b.highWater, Waiting: b.small.Len() + b.large.Len(), Refusals: make(map[error]int)}
+	s := Stats{Total: b.Total, Taken: b.taken - b.returned, Returned: b.returned, HighWater: b.highWater, Waiting: b.small.Len() + b.large.Len(), Refusals: make(map[error]int)}
 	for err, n := range b.refusals {
 		s.Refusals[err] = n
 	}
@@ -174,6 +181,7 @@
 	defer tick.Stop()
 	for {
 		b.abortOldest(time.Now())
+		b.collect()
 		select {
 		case err := <-w.done:
 			return err
@@ -208,7 +216,7 @@
 			continue
 		}
 		w := queue.Front().Value.(*waiter)
-		for b.taken-b.aborted+w.more > b.limit(w.room, w.more) {
+		for b.taken-b.returned-b.aborted+w.more > b.limit(w.room, w.more) {
 			v := b.oldest(now)
 			if v == nil {
 				break
@@ -318,11 +326,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	less = min(less, r.size)
-	r.size -= less
-	b.taken -= less
-	if r.ended {
-		b.aborted -= less
-	}
+	b.giveBack(r, less)
 	b.serve(now)
 }
 
@@ -340,10 +344,39 @@
 	if r.size == 0 {
 		return
 	}
-	b.taken -= r.size
+	b.giveBack(r, r.size)
+	b.serve(now)
+}
+
+// giveBack returns a part of a room. The mutex is held.
+func (b *Budget) giveBack(r *Room, less Bytes) {
+	if r.size > SmallRoom {
+		b.returned += less
+	} else {
+		b.taken -= less
+	}
 	if r.ended {
-		b.aborted -= r.size
+		b.aborted -= less
 	}
-	r.size = 0
-	b.serve(now)
+	r.size -= less
+}
+
+// collect collects garbage if requests wait for what others have returned.
+func (b *Budget) collect() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.returned == 0 || b.collecting {
+		return
+	}
+	b.collecting = true
+	returned := b.returned
+	go func() {
+		runtime.GC()
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.collecting = false
+		b.returned -= returned
+		b.taken -= returned
+		b.serve(time.Now())
+	}()
 }
--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -220,6 +220,7 @@
 	gauge("total_bytes", "Memory for requests of callers.", func(s budgeter.Stats) float64 { return float64(s.Total) })
 	gauge("taken_bytes", "Memory that requests take now.", func(s budgeter.Stats) float64 { return float64(s.Taken) })
 	gauge("taken_most_bytes", "Most memory that requests have taken.", func(s budgeter.Stats) float64 { return float64(s.HighWater) })
+	gauge("returned_bytes", "Memory that requests have returned and that is not collected as garbage yet.", func(s budgeter.Stats) float64 { return float64(s.Returned) })
 	gauge("waiting", "Requests that wait for memory.", func(s budgeter.Stats) float64 { return float64(s.Waiting) })
 	for reason, err := range budgeter.Reasons() {
 		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/peer/operator/server.go
+++ b/internal/peer/operator/server.go
@@ -34,7 +34,7 @@
 const (
 	maxCallBytes = 8 << 20
 	// maxCallValues bounds the decoded form: an operation of 3 bytes becomes 100.
-	maxCallValues = 200_000
+	maxCallValues = 50_000
 	callTimeout   = 12 * time.Second
 )
 
@@ -129,9 +129,6 @@
 func (s *Server) read(ctx iris.Context, to any) bool {
 	w := ctx.ResponseWriter().Naive()
 	data, err := s.Receiver.Read(w, ctx.Request(), maxCallBytes)
-	if err == nil {
-		_, err = receiver.Charge(ctx.Request(), int64(len(data))/2) // the decoded form is smaller than the text, which is kept
-	}
 	if err != nil {
 		write(ctx, receiver.Status(w, err), &Reply{Findings: []string{"the call can't be read: " + err.Error()}})
 		return false
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -64,7 +64,7 @@
 	if s.RequestMemory > 0 {
 		return s.RequestMemory
 	}
-	return s.SoftMemory * 2 / 5
+	return s.SoftMemory / 4
 }
 
 // Peer is a daemon of the cell, including the local one.
