--- a/internal/load/mimic/people.go
+++ b/internal/load/mimic/people.go
@@ -29,8 +29,9 @@
 // Client calls daemons, one after the other until one gives a final answer. It
 // may be used by several goroutines.
 type Client struct {
-	Daemons []string // addresses
-	Host    string   // of the queue; empty for operators
+	Daemons []string    // addresses
+	Host    string      // of the queue; empty for operators
+	Key     definer.Key // of the caller's workspace; empty: none
 	http    *http.Client
 }
 
@@ -42,13 +43,21 @@
 	}}
 }
 
+// WithKey returns a client that shares the connections of c and calls with a key.
+func (c *Client) WithKey(key definer.Key) *Client {
+	x := *c
+	x.Key = key
+	return &x
+}
+
 // SetTimeout changes how long a call waits.
 func (c *Client) SetTimeout(d time.Duration) { c.http.Timeout = d }
 
 // Response is the answer to a call. Status is 0 when there was none.
 type Response struct {
-	Status int
-	Body   []byte
+	Status     int
+	Body       []byte
+	RetryAfter time.Duration // 0: the answer names none
 }
 
 // Try makes a call once, at daemon n of the list.
@@ -77,6 +86,9 @@
 		req.Host = c.Host
 		req.Header.Set(codec.HeaderDeadline, strconv.Itoa(int(callTimeout.Milliseconds())))
 	}
+	if c.Key != "" {
+		req.Header.Set(codec.HeaderKey, string(c.Key))
+	}
 	req.Header.Set("Content-Type", codec.ContentType)
 	resp, err := c.http.Do(req)
 	if err != nil {
@@ -87,7 +99,8 @@
 	if err != nil {
 		return Response{}
 	}
-	return Response{resp.StatusCode, answer}
+	seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // 0 if there is none
+	return Response{resp.StatusCode, answer, time.Duration(seconds) * time.Second}
 }
 
 // final reports whether a status ends a call.
--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -31,12 +31,15 @@
 	waits    *prometheus.HistogramVec
 	late     *prometheus.CounterVec
 	calls    *prometheus.HistogramVec
+	undone   *prometheus.CounterVec // calls that were not decided
 	orders   *prometheus.HistogramVec
 	rounds   prometheus.Histogram
 	ends     *prometheus.CounterVec
 	failures *prometheus.CounterVec
 	ignored  *prometheus.CounterVec
 	dropped  prometheus.Counter
+	unknown  prometheus.Counter
+	foreign  prometheus.Counter
 	failed   *prometheus.CounterVec
 	format   *prometheus.GaugeVec // without labels, as only replicas show it
 	leading  prometheus.Gauge
@@ -64,6 +67,9 @@
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runs_ended_total", Help: "Runs by how they ended.",
 		}, []string{"how"}),
+		undone: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_not_decided_total", Help: "Calls that the leader has not decided, by the answer and why it is certain or not.",
+		}, []string{"kind", "verdict", "cause"}),
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "calls_failed_total", Help: "Calls to targets and services without an answer, by cause.",
 		}, []string{"kind", "cause"}),
@@ -73,6 +79,12 @@
 		dropped: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "withdrawals_dropped_total", Help: "Cancellations of unknown jobs that were forgotten early, as there were too many, at the leader.",
 		}),
+		unknown: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_unauthorized_total", Help: "Calls refused as they had no valid key, at the leader.",
+		}),
+		foreign: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_forbidden_total", Help: "Calls refused as their job belongs to another workspace, at the leader.",
+		}),
 		failed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "failed_runs_total", Help: "Failed runs of tasks that are not long-running, by whether they used up an attempt of a task or gang, at the leader.",
 		}, []string{"counted"}),
@@ -93,7 +105,7 @@
 		Namespace: namespace, Name: "replicas_left_behind", Help: "Replicas that get no entries since their versions do not follow the format in force, at the leader.",
 	})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind,
+	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
@@ -155,6 +167,20 @@
 	}
 }
 
+// Unauthorized takes in calls without a valid key.
+func (m *Meter) Unauthorized(n int) {
+	if m != nil {
+		m.unknown.Add(float64(n))
+	}
+}
+
+// Forbidden takes in calls for jobs of another workspace.
+func (m *Meter) Forbidden(n int) {
+	if m != nil {
+		m.foreign.Add(float64(n))
+	}
+}
+
 // FailedRuns takes in failed runs by whether they used up an attempt.
 func (m *Meter) FailedRuns(n planner.FailedRuns) {
 	if m != nil {
@@ -177,6 +203,13 @@
 	}
 }
 
+// CallNotDecided counts a call that the leader has not decided.
+func (m *Meter) CallNotDecided(kind, verdict, cause string) {
+	if m != nil {
+		m.undone.WithLabelValues(kind, verdict, cause).Inc()
+	}
+}
+
 // Order takes in a call to a target or a service.
 func (m *Meter) Order(kind, outcome string, took time.Duration) {
 	if m != nil {
--- a/internal/peer/leader/protocol.go
+++ b/internal/peer/leader/protocol.go
@@ -39,10 +39,13 @@
 	Daemon string `cbor:"1,keyasint"`
 	// Watch requests only the current leader and a Welcome at each change of leader.
 	Watch bool `cbor:"2,keyasint,omitempty"`
+	// Keys tells that the daemon passes the keys of callers on.
+	Keys bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Welcome reports the leader. It is the first message of a stream, and is sent
-// again on each change of leader if Hello.Watch was set.
+// again on each change of leader if Hello.Watch was set. On a calling stream it is
+// sent again when its daemon stops leading; calls that come after it are not taken.
 type Welcome struct {
 	Leading bool           `cbor:"1,keyasint,omitempty"` // the daemon that was called leads
 	Leader  string         `cbor:"2,keyasint,omitempty"` // address of the leader; empty if unknown
@@ -66,6 +69,8 @@
 	Wave       *tracker.WavePut      `cbor:"9,keyasint,omitempty"`
 	WaveStatus tracker.WaveID        `cbor:"10,keyasint,omitempty"`
 	Departing  tracker.Incarnation   `cbor:"11,keyasint,omitempty"` // of Depart; 0: not known
+	// Authenticate asks only whether a call to the place would be refused for its key.
+	Authenticate *Place `cbor:"12,keyasint,omitempty"`
 }
 
 // Kind returns the name of the field that is set.
@@ -77,6 +82,8 @@
 		return "State"
 	case c.Cancel != nil:
 		return "Cancel"
+	case c.Authenticate != nil:
+		return "Authenticate"
 	case c.Announce != nil:
 		return "Announce"
 	case c.Depart != "":
@@ -93,6 +100,11 @@
 	return "None"
 }
 
+// HasEffect reports whether a call may change the replicated state.
+func (c *Call) HasEffect() bool {
+	return c.State == nil && !c.Fetch && c.WaveStatus == 0 && c.Authenticate == nil
+}
+
 // Subject returns the job, queue, target, document version or wave that a call
 // refers to.
 func (c *Call) Subject() string {
@@ -103,6 +115,8 @@
 		return c.State.Path
 	case c.Cancel != nil:
 		return c.Cancel.Path
+	case c.Authenticate != nil:
+		return c.Authenticate.Path
 	case c.Announce != nil:
 		return string(c.Announce.Target.ID)
 	case c.Depart != "":
@@ -141,10 +155,12 @@
 	vmBytes   = 40
 )
 
-// Place is the host and path of a caller's call.
+// Place is the host and path of a caller's call, and its key.
 type Place struct {
 	Host string `cbor:"1,keyasint"`
 	Path string `cbor:"2,keyasint"`
+	// Key is that of the caller; empty: none.
+	Key definer.Key `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply answers a Call.
@@ -159,6 +175,11 @@
 	Document   []byte           `cbor:"8,keyasint,omitempty"`
 	Completed  bool             `cbor:"9,keyasint,omitempty"`  // of a wave
 	AtLeader   bool             `cbor:"10,keyasint,omitempty"` // the target is to announce itself at the leader from now on
+	Keyless    bool             `cbor:"11,keyasint,omitempty"` // no call needs a key; in the answer to Authenticate
+	// NotTaken is set beside the verdict Uncertain when this sending of the call has had
+	// no effect and will have none. Versions that do not know it take the outcome as
+	// unknown.
+	NotTaken bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Handler serves the streams of daemons on the leader.
@@ -215,7 +236,8 @@
 	stream grpc.ClientStream
 }
 
-// Send sends a message to the leader.
+// Send sends a message to the leader. If it fails, the leader never gets the message:
+// gRPC hands a message to the connection whole or, with an error, not at all.
 func (s *ClientStream) Send(m *Up) error { return s.stream.SendMsg(m) }
 
 // Recv returns the next message from the leader.
