--- a/internal/daemon/coordinator/calls.go
+++ b/internal/daemon/coordinator/calls.go
@@ -18,15 +18,24 @@
 	c.enqueueCall(ctx, &call{Call: msg, reply: reply})
 }
 
+// enqueueCall queues a call. Calls beyond MaxWaitingBytes are refused.
 func (c *Coordinator) enqueueCall(ctx context.Context, req *call) {
+	size := int64(req.Bytes())
+	if c.waitingBytes.Add(size) > max(size, int64(c.MaxWaitingBytes)) && c.MaxWaitingBytes > 0 {
+		c.waitingBytes.Add(-size)
+		req.refuse("too many calls wait for the leader")
+		return
+	}
 	select {
 	case c.inputs <- input{call: req}:
 	case <-ctx.Done():
+		c.waitingBytes.Add(-size)
 		req.refuse("the call did not reach the leader's queue")
 	}
 }
 
 func (c *Coordinator) handleCall(req *call, now planner.Moment) {
+	c.waitingBytes.Add(-int64(req.Bytes()))
 	if req.from != nil && c.streams[req.from.daemon] != req.from {
 		// The daemon may have repeated the call over a newer stream and been answered.
 		req.refuse("the stream was replaced")
