--- a/internal/daemon/supervisor/supervisor.go
+++ b/internal/daemon/supervisor/supervisor.go
@@ -51,6 +51,8 @@
 	// MaxTargetConnections and MaxControlConnections bound the connections to targets
 	// and those that targets open for their announcements. 0: no bound.
 	MaxTargetConnections, MaxControlConnections int
+	// MaxWaitingBytes bounds the calls that wait at the leader. 0: no bound.
+	MaxWaitingBytes int
 	// ActAs makes the daemon act as a version whose latest format it is, for tests of
 	// upgrades; nil: the present one.
 	ActAs *tracker.Format
@@ -159,7 +161,7 @@
 			Decode:   s.Decode,
 		},
 		MaxBytes: cmp.Or(s.Settings.SnapshotBytes, snapshotBytes), OnLeaderChange: s.Relayer.UpdateLeader, Meter: s.Meter, MaxAnnouncers: s.Settings.MaxControlConnections / 2,
-		ActAs: s.Settings.ActAs,
+		ActAs: s.Settings.ActAs, MaxWaitingBytes: s.Settings.MaxWaitingBytes,
 	}
 	s.coordinator.Open(ctx)
 	s.dispatcher.Report = s.coordinator.Report
