--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -34,6 +34,7 @@
 	clocks        map[tracker.TargetID]time.Time
 	slow          float64 // share by which the clocks of targets run slow
 	announcements int64
+	spaced        int // sum of Round.PlacementsSpaced
 }
 
 var bounds = planner.Bounds{
@@ -44,9 +45,13 @@
 // newHarness returns a leader of term 1 with one queue and a number of targets of
 // 16 processors each, which have answered a poll.
 func newHarness(c *quicktest.C, targets int) *harness {
+	return newConfiguredHarness(c, targets, planner.Settings{Bounds: bounds})
+}
+
+func newConfiguredHarness(c *quicktest.C, targets int, settings planner.Settings) *harness {
 	s := &harness{c: c, clocks: make(map[tracker.TargetID]time.Time)}
 	s.now = planner.Moment{Monotonic: time.Unix(1000, 0), Wall: registrar.MillisOf(time.Unix(1_800_000_000, 0))}
-	s.p = &planner.Planner{State: tracker.New(), Settings: planner.Settings{Bounds: bounds}}
+	s.p = &planner.Planner{State: tracker.New(), Settings: settings}
 	s.p.Begin(1, s.now)
 	s.p.RaiseFormat(tracker.CurrentFormat, s.now)
 	s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second})
@@ -99,6 +104,7 @@
 func (s *harness) plan() {
 	s.p.Plan(s.now)
 	r := s.p.Take()
+	s.spaced += r.PlacementsSpaced
 	s.events = append(s.events, r.Events...)
 	s.orders = append(s.orders, r.Immediate...)
 	s.records = append(s.records, r.LogRecords...)
