--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"masticroad/internal/daemon/budgeter"
 	"masticroad/internal/peer/acceptor"
 	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/planner"
@@ -42,6 +43,7 @@
 	dropped        prometheus.Counter
 	unknown        prometheus.Counter
 	foreign        prometheus.Counter
+	spaced         prometheus.Counter
 	failed         *prometheus.CounterVec
 	format         *prometheus.GaugeVec // without labels, as only replicas show it
 	leading        prometheus.Gauge
@@ -91,6 +93,10 @@
 		foreign: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "calls_forbidden_total", Help: "Calls refused as their job belongs to another workspace, at the leader.",
 		}),
+		spaced: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "placements_spaced_total",
+			Help: "Runs for which findings of interference prefer another target, at the leader. With the setting observe they aren't followed.",
+		}),
 		failed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "failed_runs_total", Help: "Failed runs of tasks that are not long-running, by whether they used up an attempt of a task or gang, at the leader.",
 		}, []string{"counted"}),
@@ -111,7 +117,7 @@
 		Namespace: namespace, Name: "replicas_left_behind", Help: "Replicas that get no entries since their versions do not follow the format in force, at the leader.",
 	})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
+	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.spaced, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
@@ -134,6 +140,7 @@
 		Namespace: namespace, Name: "longest_outage_seconds", Help: "Longest time that a task of a long-running job has been without a run, at the leader.",
 	}, func() float64 { return m.load.Load().LongestOutage.Seconds() }))
 	gauge("withdrawals", "Cancellations of unknown jobs that are remembered, at the leader.", func(l *planner.Load) int { return l.Withdrawals })
+	gauge("images_interfering", "Pairs of images of which one is found to slow the other, at the leader.", func(l *planner.Load) int { return l.Interfering })
 	gauge("licence_calls", "Calls of the licensing service without an answer, at the leader.", func(l *planner.Load) int { return l.TicketRequests })
 }
 
@@ -176,6 +183,13 @@
 	}
 }
 
+// PlacementsSpaced takes in runs for which findings of interference prefer another target.
+func (m *Meter) PlacementsSpaced(n int) {
+	if m != nil && n > 0 {
+		m.spaced.Add(float64(n))
+	}
+}
+
 // WithdrawalsDropped takes in cancellations of unknown jobs that were forgotten early.
 func (m *Meter) WithdrawalsDropped(n int) {
 	if m != nil {
@@ -254,6 +268,29 @@
 	m.connections(name, "open", "Connections that are open.", func() float64 { return float64(stats().Open) })
 	m.connections(name, "idle", "Connections without a request.", func() float64 { return float64(stats().Idle) })
 	m.connections(name, "closed_for_room_total", "Idle connections that were closed for another one.", func() float64 { return float64(stats().ClosedForRoom) })
+	m.connections(name, "cut_for_room_total", "Connections that were closed inside a request for another one.", func() float64 { return float64(stats().CutForRoom) })
+}
+
+// Memory adds the gauges and counters of the memory for requests.
+func (m *Meter) Memory(stats func() budgeter.Stats) {
+	if m == nil {
+		return
+	}
+	gauge := func(name, help string, value func(budgeter.Stats) float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: "request_memory", Name: name, Help: help},
+			func() float64 { return value(stats()) }))
+	}
+	gauge("total_bytes", "Memory for requests of callers.", func(s budgeter.Stats) float64 { return float64(s.Total) })
+	gauge("taken_bytes", "Memory that requests take now.", func(s budgeter.Stats) float64 { return float64(s.Taken) })
+	gauge("taken_most_bytes", "Most memory that requests have taken.", func(s budgeter.Stats) float64 { return float64(s.HighWater) })
+	gauge("returned_bytes", "Memory that requests have returned and that is not collected as garbage yet.", func(s budgeter.Stats) float64 { return float64(s.Returned) })
+	gauge("waiting", "Requests that wait for memory.", func(s budgeter.Stats) float64 { return float64(s.Waiting) })
+	for reason, err := range budgeter.Reasons() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: "request_memory", Name: "refused_total", Help: "Requests that were refused or cut for want of memory, by reason.",
+			ConstLabels: prometheus.Labels{"reason": reason},
+		}, func() float64 { return float64(stats().Refusals[err]) }))
+	}
 }
 
 func (m *Meter) connections(purpose, name, help string, value func() float64) {
