--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -255,8 +255,8 @@
 	}
 }
 
-// decide returns the target that is chosen for a step.
-func (p *Planner) decide(s *step, c *choice) *target {
+// settle returns the target that is chosen for a step.
+func (p *Planner) settle(s *step, c *choice) *target {
 	s.spaced = c.costs != nil && c.spaced.target != c.usual.target
 	if s.spaced && p.Settings.Interference == AvoidInterference {
 		return c.spaced.target
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -233,7 +233,7 @@
 	if b.usual.target == nil && excluded == nil && s.isUnconstrained() {
 		v.infeasible = append(v.infeasible, s.def.Charge())
 	}
-	return p.decide(s, &b)
+	return p.settle(s, &b)
 }
 
 // chooseWithTicket is chooseWithinLimit for a step that needs a ticket for its target.
@@ -245,7 +245,7 @@
 			b.consider(t, p.score(s, t, now))
 		}
 	}
-	return p.decide(s, &b)
+	return p.settle(s, &b)
 }
 
 // isFeasible reports whether one more task of a step may start on a target now,
