--- a/internal/daemon/coordinator/coordinator.go
+++ b/internal/daemon/coordinator/coordinator.go
@@ -400,6 +400,9 @@
 		c.Meter.ClaimsIgnored(planner.Claim(i).String(), n)
 	}
 	c.Meter.WithdrawalsDropped(round.WithdrawalsDropped)
+	for _, r := range round.Rejections {
+		c.Meter.Rejection(r)
+	}
 	c.Meter.Unauthorized(round.Unauthorized)
 	c.Meter.Forbidden(round.Forbidden)
 	c.Meter.PlacementsSpaced(round.PlacementsSpaced)
--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -29,25 +29,28 @@
 	registry *prometheus.Registry
 	jobs     *prometheus.HistogramVec
 	waits    *prometheus.HistogramVec
-	late     *prometheus.CounterVec
-	calls    *prometheus.HistogramVec
-	undone   *prometheus.CounterVec // calls that were not decided
-	orders   *prometheus.HistogramVec
-	rounds   prometheus.Histogram
-	ends     *prometheus.CounterVec
-	failures *prometheus.CounterVec
-	ignored  *prometheus.CounterVec
-	dropped  prometheus.Counter
-	unknown  prometheus.Counter
-	foreign  prometheus.Counter
-	spaced   prometheus.Counter
-	failed   *prometheus.CounterVec
-	format   *prometheus.GaugeVec // without labels, as only replicas show it
-	leading  prometheus.Gauge
-	voters   prometheus.Gauge
-	differs  prometheus.Counter
-	behind   prometheus.Gauge
-	load     atomic.Pointer[planner.Load]
+	rejected *prometheus.CounterVec
+	// workspaceWaits has series only while a document declares workspaces.
+	workspaceWaits *prometheus.HistogramVec
+	late           *prometheus.CounterVec
+	calls          *prometheus.HistogramVec
+	undone         *prometheus.CounterVec // calls that were not decided
+	orders         *prometheus.HistogramVec
+	rounds         prometheus.Histogram
+	ends           *prometheus.CounterVec
+	failures       *prometheus.CounterVec
+	ignored        *prometheus.CounterVec
+	dropped        prometheus.Counter
+	unknown        prometheus.Counter
+	foreign        prometheus.Counter
+	spaced         prometheus.Counter
+	failed         *prometheus.CounterVec
+	format         *prometheus.GaugeVec // without labels, as only replicas show it
+	leading        prometheus.Gauge
+	voters         prometheus.Gauge
+	differs        prometheus.Counter
+	behind         prometheus.Gauge
+	load           atomic.Pointer[planner.Load]
 }
 
 // New returns a meter with the process's own metrics.
@@ -57,11 +60,15 @@
 		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
 	}
 	m := &Meter{
-		registry: prometheus.NewRegistry(),
-		jobs:     histogram("job_seconds", "Time from a job's acceptance to its end.", "queue", "state"),
-		waits:    histogram("step_wait_seconds", "Time from when a step could begin until each of its tasks was placed.", "queue"),
-		calls:    histogram("call_seconds", "Time of calls passed on to the leader.", "kind", "verdict"),
-		orders:   histogram("order_seconds", "Time of calls to targets and services.", "kind", "outcome"),
+		registry:       prometheus.NewRegistry(),
+		jobs:           histogram("job_seconds", "Time from a job's acceptance to its end.", "queue", "state"),
+		waits:          histogram("step_wait_seconds", "Time from when a step could begin until each of its tasks was placed.", "queue"),
+		workspaceWaits: histogram("workspace_wait_seconds", "Time from when a step of a workspace could begin until each of its tasks was placed.", "workspace"),
+		rejected: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "jobs_rejected_total", Help: "Submissions that were rejected for want of room, by reason, at the leader.",
+		}, []string{"queue", "workspace", "reason"}),
+		calls:  histogram("call_seconds", "Time of calls passed on to the leader.", "kind", "verdict"),
+		orders: histogram("order_seconds", "Time of calls to targets and services.", "kind", "outcome"),
 		late: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "jobs_late_total", Help: "Jobs that took longer than their objective by the declared run times.",
 		}, []string{"queue"}),
@@ -110,7 +117,7 @@
 		Namespace: namespace, Name: "replicas_left_behind", Help: "Replicas that get no entries since their versions do not follow the format in force, at the leader.",
 	})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.spaced, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
+	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.spaced, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
@@ -146,12 +153,22 @@
 	m.jobs.WithLabelValues(queue, e.State.String()).Observe(e.Duration.Seconds())
 	for _, wait := range e.Waits {
 		m.waits.WithLabelValues(queue).Observe(wait.Seconds())
+		if e.Workspace != "" {
+			m.workspaceWaits.WithLabelValues(string(e.Workspace)).Observe(wait.Seconds())
+		}
 	}
 	if e.Late {
 		m.late.WithLabelValues(queue).Inc()
 	}
 }
 
+// Rejection takes in a submission that was rejected for want of room.
+func (m *Meter) Rejection(r planner.Rejection) {
+	if m != nil {
+		m.rejected.WithLabelValues(string(r.Queue), string(r.Workspace), r.Reason.String()).Inc()
+	}
+}
+
 // Run takes in the end of a run.
 func (m *Meter) Run(how tracker.End) {
 	if m != nil {
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -42,7 +42,7 @@
 }
 
 // Mechanism is a set of safety mechanisms.
-type Mechanism uint16
+type Mechanism uint32
 
 // The safety mechanisms that tests can disable.
 const (
@@ -60,6 +60,10 @@
 	WithoutGangRuns                              // a run of a gang counts as failed for each member that fails
 	WithoutWithdrawals                           // cancellations of unknown jobs are not remembered
 	WithoutWorkspaceLimits                       // workspaces may exceed their limits
+	WithoutShares                                // pools are not divided among workspaces
+	WithoutAdmission                             // jobs that would end too late are accepted
+	WithoutCallDivision                          // long calls to the licensing service are made like short ones
+	WithoutRevision                              // objectives and latest starts follow the declared run times
 )
 
 func (p *Planner) without(m Mechanism) bool { return p.Disabled&m != 0 }
@@ -98,10 +102,13 @@
 	ticketRequests  map[TicketRequestID]*ticketRequest
 	lastRequest     TicketRequestID
 	estimateBiases  map[definer.QueueName]*estimateBias
+	stepBiases      map[definer.QueueName]*estimateBias // of the longest run of a step
 	upkeep          upkeep
 	withdrawals     []recordedWithdrawal // that are remembered, by number
 	droppedLoggedAt time.Time            // when withdrawals that were forgotten early were logged
 	interference    map[imagePair]time.Time
+	allowances      map[definer.WorkspaceName]*allowance
+	outlooks        map[definer.PoolName]*outlook
 	workspaces      map[definer.WorkspaceName]*workspace // declared, or with jobs or runs left
 	formerStrays    []formerStray
 	passes          uint64 // of placement
@@ -115,6 +122,8 @@
 	endangered      []*step                        // see refreshEndangered
 	endangeredRuns  map[*step]int                  // the runs that each of them may lose
 	holders         int                            // steps for which that pass holds capacity
+	longCalls       int                            // pending calls of the licensing service that count as long
+	sought          map[definer.PoolName]*sought   // in the current pass
 	proxiesFull     bool                           // no proxy accepts another ticket request in this pass
 	passDue         time.Time                      // no placement before
 	dirty           bool                           // placement has to run again
@@ -150,8 +159,9 @@
 	// them.
 	PlacementsSpaced int
 	FailedRuns       FailedRuns
-	Unauthorized     int // calls without a valid key
-	Forbidden        int // calls for jobs of other workspaces
+	Rejections       []Rejection // submissions that were rejected for want of room
+	Unauthorized     int         // calls without a valid key
+	Forbidden        int         // calls for jobs of other workspaces
 }
 
 // FailedRuns are numbers of failed runs of tasks that aren't long-running.
@@ -162,11 +172,13 @@
 
 // JobEnd describes an ended job.
 type JobEnd struct {
-	Queue    definer.QueueName
-	State    tracker.JobState
-	Duration time.Duration   // since its acceptance
-	Waits    []time.Duration // for each step, until all of its tasks were placed
-	Late     bool            // it missed the objective derived from the declared run times
+	Queue definer.QueueName
+	// Workspace is that of the job; empty: none, or workspaces are not declared.
+	Workspace definer.WorkspaceName
+	State     tracker.JobState
+	Duration  time.Duration   // since its acceptance
+	Waits     []time.Duration // for each step, until all of its tasks were placed
+	Late      bool            // it missed the objective derived from the declared run times
 }
 
 // Load is the size of what a leader manages.
@@ -177,8 +189,10 @@
 	LongestOutage time.Duration
 	Untracked     int // tasks of started steps that neither have a run nor wait for one
 	Withdrawals   int // cancellations of unknown jobs that are remembered
-	Workspaces    []WorkspaceLoad
-	Interfering   int // pairs of images of which one is found to slow the other
+	// UsedCPU and UsedMemory are what runs occupy of the targets that answer, in percent.
+	UsedCPU, UsedMemory int
+	Workspaces          []WorkspaceLoad
+	Interfering         int // pairs of images of which one is found to slow the other
 	// Lag is how late this leader handles what has arrived; timeouts allow for it.
 	Lag time.Duration
 }
@@ -189,25 +203,33 @@
 	for _, s := range p.steps {
 		l.Waiting += len(s.waiting)
 	}
+	var used, capacity registrar.Need
 	for _, t := range p.targets {
 		l.Running += len(t.runs)
-		if !t.responsive {
+		if t.responsive {
+			used, capacity = used.Plus(t.used), capacity.Plus(t.rec.Capacity)
+		} else {
 			l.Unresponsive++
 		}
 		if now.Monotonic.Before(t.health.quarantinedUntil) {
 			l.Quarantined++
 		}
 	}
+	l.UsedCPU, l.UsedMemory = percentOf(used.CPU, capacity.CPU), percentOf(used.Memory, capacity.Memory)
 	l.LongestOutage = p.longestOutage(now)
 	l.Untracked = len(p.UntrackedTasks())
 	l.Withdrawals = p.State.Withdrawals()
-	l.Workspaces = p.workspaceLoads()
+	l.Workspaces = p.workspaceLoads(now)
 	if p.images != nil {
 		l.Interfering = p.images.pairs
 	}
 	return l
 }
 
+func percentOf[T registrar.MilliCPU | registrar.MiB](part, whole T) int {
+	return int(100 * part / max(whole, 1))
+}
+
 // LogRecord is a log record about a decision.
 type LogRecord struct {
 	Message string
@@ -227,12 +249,16 @@
 	p.steps = make(map[definer.StepID]*step)
 	p.jobs = make(map[definer.JobID]*job)
 	p.recurring = make(map[definer.JobID]bool)
+	p.longCalls, p.sought = 0, make(map[definer.PoolName]*sought)
 	p.licenceProxies = make(map[LicenceProxyID]*licenceProxy)
 	p.ticketRequests = make(map[TicketRequestID]*ticketRequest)
 	p.estimateBiases = make(map[definer.QueueName]*estimateBias)
+	p.stepBiases = make(map[definer.QueueName]*estimateBias)
 	p.upkeep = newUpkeep()
 	p.recoverWithdrawals(now)
 	p.interference = make(map[imagePair]time.Time)
+	p.allowances = make(map[definer.WorkspaceName]*allowance)
+	p.outlooks = make(map[definer.PoolName]*outlook)
 	p.workspaces, p.formerStrays = make(map[definer.WorkspaceName]*workspace), nil
 	p.refreshLimits()
 	p.images = nil
--- a/internal/workflow/planner/planner_test.go
+++ b/internal/workflow/planner/planner_test.go
@@ -34,7 +34,8 @@
 	clocks        map[tracker.TargetID]time.Time
 	slow          float64 // share by which the clocks of targets run slow
 	announcements int64
-	spaced        int // sum of Round.PlacementsSpaced
+	running       []row // that targets list; see keepRunning
+	spaced        int   // sum of Round.PlacementsSpaced
 }
 
 var bounds = planner.Bounds{
--- a/internal/workflow/planner/workspaces.go
+++ b/internal/workflow/planner/workspaces.go
@@ -42,13 +42,25 @@
 type WorkspaceLoad struct {
 	Name         definer.WorkspaceName
 	Usage, Limit registrar.Need
+	Share        float64 // of the pool of which it runs the largest part
+	Waiting      int     // tasks
 }
 
 // workspaceLoads returns the load of each workspace, by name.
-func (p *Planner) workspaceLoads() []WorkspaceLoad {
+func (p *Planner) workspaceLoads(now Moment) []WorkspaceLoad {
+	if len(p.workspaces) == 0 {
+		return nil
+	}
+	pools := p.sharesOf(now)
 	var out []WorkspaceLoad
 	for _, name := range slices.Sorted(maps.Keys(p.workspaces)) {
-		out = append(out, WorkspaceLoad{name, p.workspaceUsage(name), p.workspaceLimit(name)})
+		l := WorkspaceLoad{Name: name, Usage: p.workspaceUsage(name), Limit: p.workspaceLimit(name)}
+		for _, x := range pools {
+			if w := x.of[name]; w != nil {
+				l.Share, l.Waiting = max(l.Share, w.running.shareOf(x.capacity)), l.Waiting+w.tasks
+			}
+		}
+		out = append(out, l)
 	}
 	return out
 }
