--- a/internal/peer/connector/pool.go
+++ b/internal/peer/connector/pool.go
@@ -14,8 +14,8 @@
 )
 
 // This file holds the pool. A request takes an idle connection to its address, else
-// it opens one. At the bound, the connection that has been idle longest is closed
-// first. If none is idle the request waits: urgent requests precede others, but
+// it opens one. At the bound, an idle connection is closed first: the one that has been idle
+// longest, or, if all are used in turn, the newest idle one. If none is idle the request waits: urgent requests precede others, but
 // every fairShare-th free connection goes to the request that has waited longest.
 
 // Address is the host and port of a target.
@@ -36,6 +36,7 @@
 	fairShare         = 8
 	minDialTime       = 50 * time.Millisecond // three round trips between regions; with less a dial is not begun
 	defaultIdleLimit  = 2 * time.Minute       // longer than any pause between requests to a target in use
+	usedInTurn        = 3 * time.Second       // an idle connection is reused within it while its target is polled
 	defaultMaxPerHost = 32                    // half of the connections that a target accepts
 )
 
@@ -182,13 +183,17 @@
 	}
 }
 
-// evict closes the connection that has been idle longest and reports whether there
-// was one.
+// evict closes an idle connection and reports whether there was one. With more addresses in
+// use than connections, the one that has been idle longest is needed next, so that closing
+// it would open a connection for each request; closing the newest keeps the others in use.
 func (p *Pool) evict() bool {
 	e := p.idle.Front()
 	if e == nil {
 		return false
 	}
+	if p.Now().Sub(e.Value.(*Conn).idleSince) < usedInTurn {
+		e = p.idle.Back()
+	}
 	p.stats.ClosedForRoom++
 	p.closeIdle(e.Value.(*Conn))
 	return true
--- a/internal/peer/connector/pool_test.go
+++ b/internal/peer/connector/pool_test.go
@@ -194,14 +194,30 @@
 func TestConnectionIdleLongestIsClosedForAnother(t *testing.T) {
 	c := quicktest.New(t)
 	p := newPool(&dialer{}, 2)
+	now := time.Now()
+	p.Now = func() time.Time { return now }
 	for _, n := range []int{1, 2, 3, 2} {
 		use(c, p, n)
+		now = now.Add(4 * time.Second) // no address is used again soon
 	}
 	s := p.Stats()
 	c.Assert(s.Dialled, quicktest.Equals, 3)
 	c.Assert(s.ClosedForRoom, quicktest.Equals, 1)
 }
 
+// Load: 120 targets that are polled in turn over 100 connections. Guards against a new
+// connection for each poll.
+func TestTargetsInTurnKeepTheirConnections(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPool(&dialer{}, 100)
+	for n := range 1200 {
+		use(c, p, n%120)
+	}
+	s := p.Stats()
+	c.Assert(s.Open, quicktest.Equals, 100)
+	c.Assert(s.Dialled < 400, quicktest.IsTrue, quicktest.Commentf("%d connections for 1200 requests", s.Dialled))
+}
+
 func use(c *quicktest.C, p *connector.Pool, n int) {
 	conn, err := p.Acquire(context.Background(), address(n), connector.Normal)
 	c.Assert(err, quicktest.IsNil)
--- a/internal/workflow/planner/polls.go
+++ b/internal/workflow/planner/polls.go
@@ -45,6 +45,10 @@
 	return limit == 0 || p.heldPolls < limit
 }
 
+// idlePollPause is the pause between polls of a target without runs that may not hold one, as a multiple
+// of the time for which it would hold it: nothing ends there, and it announces itself as well.
+const idlePollPause = 2
+
 const idlePollReserve = 4 // a quarter of MaxHeldPolls is for targets with runs
 
 // nearLeaseEnd reports whether the runs on a target may lose half of their lease
@@ -123,7 +127,11 @@
 	p.reconcileRuns(t, r, now)
 	p.dirty = true
 	if !p.mayHoldPoll(t) {
-		t.pollDue = now.Monotonic.Add(p.pollWait(t, now))
+		pause := p.pollWait(t, now)
+		if len(t.runs) == 0 {
+			pause *= idlePollPause
+		}
+		t.pollDue = now.Monotonic.Add(pause)
 		return
 	}
 	p.poll(t, now)
