--- a/internal/workflow/planner/bench_test.go
+++ b/internal/workflow/planner/bench_test.go
@@ -123,6 +123,72 @@
 	}
 }
 
+// BenchmarkMixedBacklog measures rounds at the size of the largest cell: an urgent queue and a
+// batch queue with long calls, each of which needs tickets, and 20 workspaces.
+func BenchmarkMixedBacklog(b *testing.B) {
+	for _, steps := range []int{300, 2000} {
+		b.Run(fmt.Sprintf("steps=%dx10", steps), func(b *testing.B) {
+			cell := newMixedBacklog(b, steps)
+			var took []time.Duration
+			for b.Loop() {
+				took = append(took, cell.round())
+			}
+			reportPercentiles(b, took)
+		})
+	}
+}
+
+const (
+	largestTargets    = 3000
+	largestProxies    = 300
+	largestWorkspaces = 20
+	mixedTasks        = 10
+)
+
+// newMixedBacklog returns a full cell with a backlog of steps of both queues. As many jobs are
+// submitted as end.
+func newMixedBacklog(b *testing.B, steps int) *backlog {
+	s := &backlog{harness: newHarness(quicktest.New(b), largestTargets), cursors: make(map[tracker.TargetID]int64)}
+	queue := func(name definer.QueueName, priority int, call time.Duration) definer.Queue {
+		return definer.Queue{
+			Name: name, Host: host, Prefix: "/" + string(name) + "/", Pool: poolName, Priority: priority, MaxAttempts: 2, Slack: 2, Grace: time.Second,
+			Licence: definer.Licence{Required: true, BaseLatency: call, LatencyPerTarget: 400 * time.Microsecond, TicketValidity: 2500 * time.Millisecond},
+		}
+	}
+	document := &definer.Document{Version: 9, Pools: []definer.Pool{{Name: poolName}}, Queues: []definer.Queue{queue(urgentQueue, 0, 20*time.Millisecond), queue(batchQueue, 2, 400*time.Millisecond)}}
+	for i := range largestWorkspaces {
+		document.Workspaces = append(document.Workspaces, definer.Workspace{Name: definer.WorkspaceName(fmt.Sprint("w", i)), Keys: []definer.Key{definer.Key(fmt.Sprint("key", i))}, Weight: 10})
+	}
+	s.p.Put(document, func(planner.Answer) {}, s.now)
+	for i := range largestProxies {
+		s.p.AddLicenceProxy(planner.LicenceProxyID(fmt.Sprint("vm", i)), s.now)
+	}
+	n := 0
+	submit := func() {
+		queue, need := urgentQueue, cpus(2+n%5)
+		if n%3 == 0 {
+			queue, need = batchQueue, cpus(8+n%5)
+		}
+		id := definer.JobID(10_000 + n)
+		s.p.Submit(&planner.Submission{Host: host, Path: "/" + string(queue) + "/" + id.String(), Credential: planner.Credential{Key: definer.Key(fmt.Sprint("key", n%largestWorkspaces))},
+			Job: &definer.Job{ID: id, Spec: "spec", Steps: []definer.Step{{Count: mixedTasks, Need: need, Estimate: 20 * time.Second}}}}, func(planner.Answer) {}, s.now)
+		n++
+	}
+	for range steps + 700 {
+		submit()
+	}
+	rounds := 0
+	s.beforeRound = func() {
+		if rounds++; rounds%2 == 0 {
+			submit()
+		}
+	}
+	for range 300 {
+		s.round()
+	}
+	return s
+}
+
 const (
 	largeTargets = 1100
 	largeProxies = 154
@@ -138,6 +204,8 @@
 	polls    []laterPoll
 	ended    int
 	cursors  map[tracker.TargetID]int64
+
+	beforeRound func() // nil: nothing
 }
 
 type laterPoll struct {
@@ -187,6 +255,9 @@
 		s.polls = s.polls[1:]
 	}
 	begun := time.Now()
+	if s.beforeRound != nil {
+		s.beforeRound()
+	}
 	for len(s.requests) > 0 && !s.requests[0].at.After(s.now.Monotonic) {
 		o := s.requests[0].request
 		s.requests = s.requests[1:]
--- a/internal/workflow/planner/grants.go
+++ b/internal/workflow/planner/grants.go
@@ -39,6 +39,7 @@
 type grants struct {
 	verdicts []admission // by slot; shorter if the last ones are unasked
 	tickets  []ticket    // at most one of a target
+	admitted []*target   // those with that verdict
 }
 
 // of returns the verdict on a target.
@@ -78,9 +79,21 @@
 	if missing := int(t.slot) + 1 - len(g.verdicts); missing > 0 {
 		g.verdicts = append(g.verdicts, make([]admission, missing)...)
 	}
+	switch before := g.verdicts[t.slot]; {
+	case before == a:
+	case a == admitted:
+		g.admitted = append(g.admitted, t)
+	case before == admitted:
+		g.leaveAdmitted(t)
+	}
 	g.verdicts[t.slot] = a
 }
 
+// leaveAdmitted removes a target from those that are admitted.
+func (g *grants) leaveAdmitted(t *target) {
+	g.admitted = slices.DeleteFunc(g.admitted, func(x *target) bool { return x == t })
+}
+
 // add records a ticket, which replaces an earlier one.
 func (g *grants) add(x ticket) {
 	g.record(x.target, admitted)
@@ -101,6 +114,7 @@
 	if int(t.slot) < len(g.verdicts) {
 		g.verdicts[t.slot] = unasked
 	}
+	g.leaveAdmitted(t)
 	g.drop(t)
 }
 
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -98,6 +98,7 @@
 	jobs            map[definer.JobID]*job   // not ended, or with runs left
 	recurring       map[definer.JobID]bool   // jobs with occurrences left to start
 	licenceProxies  map[LicenceProxyID]*licenceProxy
+	proxyQueue      proxyQueue // the same, by their backlog
 	ticketRequests  map[TicketRequestID]*ticketRequest
 	lastRequest     TicketRequestID
 	estimateBiases  map[definer.QueueName]*estimateBias
@@ -240,7 +241,7 @@
 	p.jobs = make(map[definer.JobID]*job)
 	p.recurring = make(map[definer.JobID]bool)
 	p.longCalls, p.sought = 0, make(map[definer.PoolName]*sought)
-	p.licenceProxies = make(map[LicenceProxyID]*licenceProxy)
+	p.licenceProxies, p.proxyQueue = make(map[LicenceProxyID]*licenceProxy), nil
 	p.ticketRequests = make(map[TicketRequestID]*ticketRequest)
 	p.estimateBiases = make(map[definer.QueueName]*estimateBias)
 	p.stepBiases = make(map[definer.QueueName]*estimateBias)
--- a/internal/workflow/planner/pool_scan.go
+++ b/internal/workflow/planner/pool_scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"masticroad/internal/control/registrar"
@@ -15,15 +16,25 @@
 
 // poolScan caches what a pass has found out about a pool.
 type poolScan struct {
-	roomy      []roomyTarget    // schedulable targets, those with the most free processors first
-	infeasible []registrar.Need // needs for which none of them has capacity
+	roomy      []roomyTarget      // schedulable targets, those with the most free processors first
+	infeasible []registrar.Need   // needs for which none of them has capacity
+	largest    registrar.MilliCPU // capacity of one of them
+	charged    []*target          // by placements since the pass looked
 }
 
 // roomyTarget is a schedulable target with its free processors when the pass looked. A
 // placement takes some of them since; capacityReturned discards the scan.
 type roomyTarget struct {
 	*target
-	cpu registrar.MilliCPU
+	cpu      registrar.MilliCPU
+	left     registrar.Need // of its capacity, held or not
+	capacity registrar.Need
+}
+
+// leastScore returns the score of a target for a step that takes part of its capacity, its
+// health and distance aside, which only add to it.
+func (t *roomyTarget) leastScore(charge registrar.Need) float64 {
+	return t.left.Minus(charge).DominantShare(t.capacity)
 }
 
 // beginPass discards the results of the previous pass.
@@ -39,7 +50,8 @@
 		v = &poolScan{roomy: make([]roomyTarget, 0, len(pl.targets))}
 		for _, t := range pl.targets {
 			if t.schedulable(now) {
-				v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU})
+				v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU, t.rec.Capacity.Minus(t.used), t.rec.Capacity})
+				v.largest = max(v.largest, t.rec.Capacity.CPU)
 			}
 		}
 		slices.SortStableFunc(v.roomy, func(a, b roomyTarget) int { return cmp.Compare(b.cpu, a.cpu) })
@@ -59,6 +71,43 @@
 	return v.roomy[:n]
 }
 
+// tightest yields the targets that may have capacity for a need, those with the fewest free
+// processors first, and among equals by id.
+func (v *poolScan) tightest(need registrar.Need) iter.Seq[*roomyTarget] {
+	return func(yield func(*roomyTarget) bool) {
+		rest := v.withRoom(need)
+		for len(rest) > 0 {
+			i := len(rest) - 1
+			for i > 0 && rest[i-1].cpu == rest[i].cpu {
+				i--
+			}
+			for k := range rest[i:] {
+				if !yield(&rest[i+k]) {
+					return
+				}
+			}
+			rest = rest[:i]
+		}
+	}
+}
+
+// recordCharge records that a placement has taken capacity of a target. What the scan says
+// of its free processors no longer bounds its score.
+func (p *Planner) recordCharge(t *target) {
+	if v := p.scans[t.rec.Pool]; v != nil && t.chargedIn != v {
+		t.chargedIn = v
+		v.charged = append(v.charged, t)
+	}
+}
+
+// shareOfLargest returns the part that processors are at least of the capacity of a target.
+func (v *poolScan) shareOfLargest(cpu registrar.MilliCPU) float64 {
+	if cpu <= 0 || v.largest <= 0 {
+		return 0
+	}
+	return float64(cpu) / float64(v.largest)
+}
+
 // capacityReturned is called when capacity is released during a pass.
 func (p *Planner) capacityReturned(name definer.PoolName) { delete(p.scans, name) }
 
--- a/internal/workflow/planner/restore.go
+++ b/internal/workflow/planner/restore.go
@@ -159,23 +159,32 @@
 // tickets before there is some: those that are known to admit it first, and of
 // these the ones with the most free capacity.
 func (p *Planner) fullCandidates(s *step, pl *pool, waiting int, now Moment) []option {
-	var options []option
-	have := 0
-	for _, t := range pl.targets {
-		if !s.grants.mayAdmit(t) || !p.mayRunLater(s, pl, t, now) || p.fits(s, t) {
-			continue
+	isFull := func(t *target) bool {
+		return t.rec.Pool == pl.name && s.grants.mayAdmit(t) && p.mayRunLater(s, pl, t, now) && !p.fits(s, t)
+	}
+	most := max(ticketsPerTask*waiting, minTickets)
+	for i := range s.grants.tickets {
+		if x := &s.grants.tickets[i]; x.validFor(renewBefore, now) && isFull(x.target) {
+			most--
 		}
-		if s.grants.ticket(t).validFor(renewBefore, now) {
-			have++
-			continue
+	}
+	found := shortlist{most: min(most, maxTargetsPerRequest)}
+	for _, t := range s.grants.admitted {
+		if !s.grants.ticket(t).validFor(renewBefore, now) && isFull(t) {
+			found.add(option{t.rec.ID, p.shortfall(s, t)})
 		}
-		cost := p.shortfall(s, t)
-		if s.grants.of(t) != admitted {
-			cost += unknownPenalty
+	}
+	v, need := p.poolScan(pl, now), s.def.Charge().CPU
+	for _, x := range v.roomy {
+		// The others lack more processors.
+		if found.excludes(option{x.rec.ID, v.shareOfLargest(need-x.cpu) + unknownPenalty}) && need > x.cpu {
+			break
+		}
+		if s.grants.of(x.target) == unasked && isFull(x.target) {
+			found.add(option{x.rec.ID, p.shortfall(s, x.target) + unknownPenalty})
 		}
-		options = append(options, option{t.rec.ID, cost})
 	}
-	return bestOptions(options, max(ticketsPerTask*waiting, minTickets)-have)
+	return found.options
 }
 
 // unknownPenalty ranks targets that may not admit a step behind all that do.
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -101,6 +101,7 @@
 	if def.LongRunning {
 		t.usedLongRunning = t.usedLongRunning.Plus(r.charge)
 	}
+	p.recordCharge(t)
 	j.runs[key] = r
 	j.chargeWorkspace(def)
 	return r
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -53,6 +53,7 @@
 	ignoreDrain          bool // WithoutDrainCheck is set
 	cordoned             bool // its VM is about to be taken down
 	throttling           throttling
+	chargedIn            *poolScan // the newest one that has it in charged
 }
 
 // free returns the capacity for new work.
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"maps"
 	"slices"
 	"time"
@@ -32,6 +33,7 @@
 	busyUntil time.Time // according to the declared durations of the calls so far
 	calls     int
 	late      int // overdue answers in a row
+	place     int // in Planner.proxyQueue; -1: removed
 }
 
 // ticketRequest is a pending call to the licensing service.
@@ -49,13 +51,17 @@
 func (p *Planner) AddLicenceProxy(id LicenceProxyID, now Moment) {
 	if p.licenceProxies[id] == nil {
 		p.licenceProxies[id] = &licenceProxy{id: id, busyUntil: now.Monotonic}
+		heap.Push(&p.proxyQueue, p.licenceProxies[id])
 		p.dirty = true
 	}
 }
 
 // RemoveLicenceProxy removes a daemon that has become unreachable.
 func (p *Planner) RemoveLicenceProxy(id LicenceProxyID, now Moment) {
-	delete(p.licenceProxies, id)
+	if a := p.licenceProxies[id]; a != nil {
+		heap.Remove(&p.proxyQueue, a.place)
+		delete(p.licenceProxies, id)
+	}
 	for _, a := range p.sortedRequests() {
 		if a.proxy.id == id {
 			p.failRequest(a, now)
@@ -86,7 +92,7 @@
 	if s.pendingRequest != 0 || p.proxiesFull || now.Monotonic.Before(s.requestAfter) {
 		return
 	}
-	proxy := p.leastLoadedProxy(now)
+	proxy := p.leastLoadedProxy()
 	if proxy == nil || proxy.busyUntil.Sub(now.Monotonic) > maxProxyBacklog {
 		p.proxiesFull = true // a proxy will become free before its last answer arrives
 		return
@@ -108,6 +114,7 @@
 	}
 	proxy.busyUntil = begin.Add(cost)
 	proxy.calls++
+	p.proxyQueue.update(proxy)
 	p.lastRequest++
 	if long {
 		p.longCalls++
@@ -119,49 +126,60 @@
 	p.doNow(Action{TicketRequest: &TicketRequest{ID: a.id, Proxy: proxy.id, Step: s.id, Targets: named}})
 }
 
-func (p *Planner) leastLoadedProxy(now Moment) *licenceProxy {
-	var best *licenceProxy
-	for _, a := range p.licenceProxies {
-		if a.calls >= maxCallsPerProxy {
-			continue
-		}
-		if best == nil || cmp.Or(a.busyUntil.Compare(best.busyUntil), cmp.Compare(a.id, best.id)) < 0 {
-			best = a
-		}
-	}
-	return best
-}
-
 // candidates returns the targets to name in a request: feasible targets that are
 // known to admit the step, followed by feasible targets that it never asked about,
 // and by full targets if the step waits for capacity that is held for it.
 func (p *Planner) candidates(s *step, pl *pool, waiting int, now Moment) []tracker.TargetID {
-	var known, unknown []option
-	for _, x := range p.poolScan(pl, now).withRoom(s.def.Charge()) {
-		t := x.target
-		if !s.grants.mayAdmit(t) || !p.isFeasible(s, pl, t, now) || p.isUsable(s.grants.ticket(t), now) {
-			continue
-		}
-		o := option{t.rec.ID, p.score(s, t, now)}
-		if s.grants.of(t) == admitted {
-			known = append(known, o)
-		} else {
-			unknown = append(unknown, o)
+	known := shortlist{most: min(waiting, maxTargetsPerRequest)}
+	for _, t := range s.grants.admitted {
+		if t.rec.Pool == pl.name && p.isFeasible(s, pl, t, now) && !p.isUsable(s.grants.ticket(t), now) {
+			known.add(option{t.rec.ID, p.score(s, t, now)})
 		}
 	}
-	known = bestOptions(known, waiting)
-	missing := waiting - len(known)
+	missing := waiting - len(known.options)
 	n := 0
 	if missing > 0 {
 		n = max(missing*targetsPerTask, minTargetsPerRequest)
 	}
-	named := append(known, bestOptions(unknown, n)...)
+	named := append(known.options, p.unknownCandidates(s, pl, min(n, maxTargetsPerRequest), now)...)
 	if s.holding || p.dividesCalls() && isLongCall(s.job.rec.Queue.Licence) && len(named) < waiting+n {
 		named = append(named, p.fullCandidates(s, pl, waiting, now)...)
 	}
 	return idsOf(named[:min(len(named), maxTargetsPerRequest)])
 }
 
+// unknownCandidates returns up to n feasible targets that were never asked about. It skips
+// targets that are worse than those whatever their health is.
+func (p *Planner) unknownCandidates(s *step, pl *pool, n int, now Moment) []option {
+	v, found := p.poolScan(pl, now), shortlist{most: n}
+	if n == 0 {
+		return nil
+	}
+	consider := func(t *target) {
+		if s.grants.of(t) == unasked && p.isFeasible(s, pl, t, now) {
+			found.add(option{t.rec.ID, p.score(s, t, now)})
+		}
+	}
+	for _, t := range v.charged {
+		consider(t)
+	}
+	charge := s.def.Charge()
+	for x := range v.tightest(charge) {
+		if !s.def.BestEffortCPU { // these are scored otherwise
+			if found.excludes(option{x.rec.ID, v.shareOfLargest(x.cpu - charge.CPU)}) {
+				break
+			}
+			if found.excludes(option{x.rec.ID, x.leastScore(charge)}) {
+				continue
+			}
+		}
+		if x.chargedIn != v {
+			consider(x.target)
+		}
+	}
+	return found.options
+}
+
 // option is a target that may be named in a request; lower cost is better.
 type option struct {
 	id   tracker.TargetID
@@ -178,6 +196,27 @@
 	return selector.Smallest(options, n, compareOptions)
 }
 
+// shortlist holds the options with the lowest cost in order.
+type shortlist struct {
+	most    int
+	options []option
+}
+
+// excludes reports whether an option is worse than all that are held.
+func (l *shortlist) excludes(o option) bool {
+	n := len(l.options)
+	return n >= l.most && (n == 0 || compareOptions(o, l.options[n-1]) > 0)
+}
+
+func (l *shortlist) add(o option) {
+	if l.excludes(o) {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(l.options, o, compareOptions)
+	l.options = slices.Insert(l.options, i, o)
+	l.options = l.options[:min(len(l.options), l.most)]
+}
+
 func idsOf(options []option) []tracker.TargetID {
 	ids := make([]tracker.TargetID, len(options))
 	for i, o := range options {
@@ -241,6 +280,7 @@
 func (p *Planner) removeRequest(a *ticketRequest) {
 	delete(p.ticketRequests, a.id)
 	a.proxy.calls--
+	p.proxyQueue.update(a.proxy)
 	if a.long {
 		p.longCalls--
 	}
@@ -275,6 +315,7 @@
 			pause := now.Monotonic.Add(lateProxyPause)
 			if a.proxy.busyUntil.Before(pause) {
 				a.proxy.busyUntil = pause
+				p.proxyQueue.update(a.proxy)
 			}
 			p.log("answer about tickets is overdue", "ask", int64(a.id), "through", a.proxy.id, "late", a.proxy.late)
 			p.releaseStep(a, now.Monotonic)
