--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -333,8 +333,12 @@
 // follows. Polls and leases must not wait for the placement of a long backlog, so that it
 // takes a part of the time only.
 func (p *Planner) Pace(took time.Duration, now Moment) {
-	if took > longRound {
-		p.passDue = now.Monotonic.Add(min(placementPause*took, maxPlacementPause))
+	long, pause := longRound, time.Duration(placementPause)
+	if len(p.targets) > largeCell {
+		long, pause = longRoundOfLargeCell, placementPauseOfLargeCell
+	}
+	if took > long {
+		p.passDue = now.Monotonic.Add(min(pause*took, maxPlacementPause))
 	}
 }
 
@@ -344,6 +348,14 @@
 	maxPlacementPause = 250 * time.Millisecond
 )
 
+// In a cell with more than largeCell targets most rounds have inputs, and a round of a few
+// milliseconds every five would take the leader's share of a processor.
+const (
+	largeCell                 = 1500
+	longRoundOfLargeCell      = time.Millisecond
+	placementPauseOfLargeCell = 4
+)
+
 // sweep runs the checks that depend on time alone.
 func (p *Planner) sweep(now Moment) {
 	p.startDueOccurrences(now)
--- a/internal/workflow/planner/pool_scan.go
+++ b/internal/workflow/planner/pool_scan.go
@@ -47,19 +47,24 @@
 func (p *Planner) poolScan(pl *pool, now Moment) *poolScan {
 	v := p.scans[pl.name]
 	if v == nil {
-		v = &poolScan{roomy: make([]roomyTarget, 0, len(pl.targets))}
-		for _, t := range pl.targets {
-			if t.schedulable(now) {
-				v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU, t.rec.Capacity.Minus(t.used), t.rec.Capacity})
-				v.largest = max(v.largest, t.rec.Capacity.CPU)
-			}
-		}
-		slices.SortStableFunc(v.roomy, func(a, b roomyTarget) int { return cmp.Compare(b.cpu, a.cpu) })
+		v = newPoolScan(pl, now)
 		p.scans[pl.name] = v
 	}
 	return v
 }
 
+func newPoolScan(pl *pool, now Moment) *poolScan {
+	v := &poolScan{roomy: make([]roomyTarget, 0, len(pl.targets))}
+	for _, t := range pl.targets {
+		if t.schedulable(now) {
+			v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU, t.rec.Capacity.Minus(t.used), t.rec.Capacity})
+			v.largest = max(v.largest, t.rec.Capacity.CPU)
+		}
+	}
+	slices.SortStableFunc(v.roomy, func(a, b roomyTarget) int { return cmp.Compare(b.cpu, a.cpu) })
+	return v
+}
+
 // withRoom returns the targets that may have capacity for a need.
 func (v *poolScan) withRoom(need registrar.Need) []roomyTarget {
 	n, _ := slices.BinarySearchFunc(v.roomy, need.CPU, func(t roomyTarget, cpu registrar.MilliCPU) int {
--- a/internal/workflow/planner/runs.go
+++ b/internal/workflow/planner/runs.go
@@ -378,11 +378,9 @@
 // start.
 func (p *Planner) reconcileRuns(t *target, report *PollReport, now Moment) {
 	p.releaseOrphans(t)
-	listed := make(map[runKey]bool, len(report.Running))
 	for i := range report.Running {
 		x := &report.Running[i]
 		key := runKey{x.Task, x.Number}
-		listed[key] = true
 		r := t.runs[key]
 		if r == nil {
 			p.stopOrphan(t, key, now)
@@ -396,15 +394,27 @@
 		p.logIncomplete(t, report, now)
 	}
 	if report.isWhole() || p.without(WithoutWholeLists) {
-		for _, r := range t.sortedRuns() {
-			if !listed[r.key] {
-				p.handleAbsence(r, report, now)
-			}
+		for _, r := range t.unlistedRuns(report) {
+			p.handleAbsence(r, report, now)
 		}
 	}
 	p.adjustPace(t, now)
 }
 
+// unlistedRuns returns the runs of a target that a report does not list as running, ordered by
+// task. There are seldom any, and few runs on a target.
+func (t *target) unlistedRuns(report *PollReport) []*run {
+	var out []*run
+	for _, r := range t.runs {
+		isListed := func(x Running) bool { return r.key == runKey{x.Task, x.Number} }
+		if !slices.ContainsFunc(report.Running, isListed) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *run) int { return compareKeys(a.key, b.key) })
+	return out
+}
+
 // logIncomplete logs lists that leave out ends or have rows that can't be read, at most
 // once in incompleteInterval for a target.
 func (p *Planner) logIncomplete(t *target, report *PollReport, now Moment) {
--- a/internal/workflow/planner/sharing.go
+++ b/internal/workflow/planner/sharing.go
@@ -1,6 +1,9 @@
 package planner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // This file shares targets between serving tasks (Step.TailLatencyLimit), which
 // have a bound on their tail latency, and best-effort tasks (Step.BestEffortCPU),
@@ -61,11 +64,12 @@
 // bestEffortRuns returns the started best-effort runs, ordered by task.
 func (t *target) bestEffortRuns() []*run {
 	var out []*run
-	for _, r := range t.sortedRuns() {
+	for _, r := range t.runs {
 		if r.def.BestEffortCPU && r.state == runStarted && !r.stopping {
 			out = append(out, r)
 		}
 	}
+	slices.SortFunc(out, func(a, b *run) int { return compareKeys(a.key, b.key) })
 	return out
 }
 
