--- a/internal/workflow/planner/grants.go
+++ b/internal/workflow/planner/grants.go
@@ -104,18 +104,20 @@
 	g.tickets = append(g.tickets, x)
 }
 
-// drop removes the ticket for a target.
+// drop removes the ticket for a target. Only one that is admitted has any.
 func (g *grants) drop(t *target) {
+	if g.of(t) != admitted {
+		return
+	}
 	g.tickets = slices.DeleteFunc(g.tickets, func(x ticket) bool { return x.target == t })
 }
 
 // forget removes all that is known of a target.
 func (g *grants) forget(t *target) {
-	if int(t.slot) < len(g.verdicts) {
-		g.verdicts[t.slot] = unasked
+	if g.of(t) != unasked {
+		g.drop(t)
+		g.record(t, unasked)
 	}
-	g.leaveAdmitted(t)
-	g.drop(t)
 }
 
 // expire removes the tickets that are no longer valid.
--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -113,18 +113,19 @@
 	formerStrays    []formerStray
 	passes          uint64 // of placement
 	keyring         Keyring
-	slots           slot                           // taken so far
-	freeSlots       []slot                         // of removed targets
-	scans           map[definer.PoolName]*poolScan // of the current pass
-	holding         []*target                      // with capacity held by the newest pass
-	endangered      []*step                        // see refreshEndangered
-	endangeredRuns  map[*step]int                  // the runs that each of them may lose
-	holders         int                            // steps for which that pass holds capacity
-	longCalls       int                            // pending calls of the licensing service that count as long
-	sought          map[definer.PoolName]*sought   // in the current pass
-	proxiesFull     bool                           // no proxy accepts another ticket request in this pass
-	passDue         time.Time                      // no placement before
-	dirty           bool                           // placement has to run again
+	slots           slot                               // taken so far
+	freeSlots       []slot                             // of removed targets
+	scans           map[definer.PoolName]*poolScan     // of the current pass
+	spareRoomy      map[definer.PoolName][]roomyTarget // lists of earlier passes, to be used again
+	holding         []*target                          // with capacity held by the newest pass
+	endangered      []*step                            // see refreshEndangered
+	endangeredRuns  map[*step]int                      // the runs that each of them may lose
+	holders         int                                // steps for which that pass holds capacity
+	longCalls       int                                // pending calls of the licensing service that count as long
+	sought          map[definer.PoolName]*sought       // in the current pass
+	proxiesFull     bool                               // no proxy accepts another ticket request in this pass
+	passDue         time.Time                          // no placement before
+	dirty           bool                               // placement has to run again
 	stepsByPriority []*step
 	sweepAt         time.Time
 	heldPolls       int // polls on their way that a target may hold for their wait
@@ -252,7 +253,7 @@
 	p.outlooks = make(map[definer.PoolName]*outlook)
 	p.workspaces, p.formerStrays = make(map[definer.WorkspaceName]*workspace), nil
 	p.refreshLimits()
-	p.scans = make(map[definer.PoolName]*poolScan)
+	p.scans, p.spareRoomy = make(map[definer.PoolName]*poolScan), make(map[definer.PoolName][]roomyTarget)
 	p.slots, p.freeSlots = 0, nil
 	p.passDue = time.Time{}
 	p.holding, p.endangered = nil, nil
--- a/internal/workflow/planner/pool_scan.go
+++ b/internal/workflow/planner/pool_scan.go
@@ -37,8 +37,16 @@
 	return t.left.Minus(charge).DominantShare(t.capacity)
 }
 
+// isLike reports whether two targets have the same score, their health and distance aside.
+func (t *roomyTarget) isLike(u *roomyTarget) bool {
+	return t.cpu == u.cpu && t.left == u.left && t.capacity == u.capacity
+}
+
 // beginPass discards the results of the previous pass.
 func (p *Planner) beginPass() {
+	for name, v := range p.scans {
+		p.spareRoomy[name] = v.roomy[:0]
+	}
 	clear(p.scans)
 	clear(p.sought)
 	p.proxiesFull = false
@@ -47,14 +55,16 @@
 func (p *Planner) poolScan(pl *pool, now Moment) *poolScan {
 	v := p.scans[pl.name]
 	if v == nil {
-		v = newPoolScan(pl, now)
+		v = newPoolScan(pl, p.spareRoomy[pl.name], now)
+		delete(p.spareRoomy, pl.name)
 		p.scans[pl.name] = v
 	}
 	return v
 }
 
-func newPoolScan(pl *pool, now Moment) *poolScan {
-	v := &poolScan{roomy: make([]roomyTarget, 0, len(pl.targets))}
+// newPoolScan looks at a pool. It uses the memory of a list of an earlier pass.
+func newPoolScan(pl *pool, spare []roomyTarget, now Moment) *poolScan {
+	v := &poolScan{roomy: slices.Grow(spare, len(pl.targets))}
 	for _, t := range pl.targets {
 		if t.schedulable(now) {
 			v.roomy = append(v.roomy, roomyTarget{t, t.free().CPU, t.rec.Capacity.Minus(t.used), t.rec.Capacity})
--- a/internal/workflow/planner/shares.go
+++ b/internal/workflow/planner/shares.go
@@ -290,10 +290,8 @@
 func (p *Planner) spareOf(name definer.PoolName, waiting []*step, now Moment) *amount {
 	spare := &amount{}
 	if pl := p.pools[name]; pl != nil {
-		for _, t := range pl.targets {
-			if t.schedulable(now) {
-				spare.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
-			}
+		for _, t := range p.poolScan(pl, now).roomy {
+			spare.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
 		}
 	}
 	for _, s := range waiting {
--- a/internal/workflow/planner/ticket_load.go
+++ b/internal/workflow/planner/ticket_load.go
@@ -53,10 +53,8 @@
 	for _, f := range out.flows {
 		x.room.add(f.released, validity.Seconds())
 	}
-	for _, t := range pl.targets {
-		if t.schedulable(now) {
-			x.room.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
-		}
+	for _, t := range p.poolScan(pl, now).roomy {
+		x.room.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
 	}
 	p.sought[pl.name] = x
 	return x
--- a/internal/workflow/planner/tickets.go
+++ b/internal/workflow/planner/tickets.go
@@ -164,12 +164,18 @@
 		consider(t)
 	}
 	charge := s.def.Charge()
+	var alike *roomyTarget // the first of those before this one with the same capacity left
+	least, excluded := 0.0, false
 	for x := range v.tightest(charge) {
 		if !s.def.BestEffortCPU { // these are scored otherwise
-			if found.excludes(option{x.rec.ID, v.shareOfLargest(x.cpu - charge.CPU)}) {
-				break
+			if alike == nil || !x.isLike(alike) {
+				if found.excludes(option{x.rec.ID, v.shareOfLargest(x.cpu - charge.CPU)}) {
+					break
+				}
+				alike, least, excluded = x, x.leastScore(charge), false
 			}
-			if found.excludes(option{x.rec.ID, x.leastScore(charge)}) {
+			// Of targets that are alike, those after one that is excluded are too, by their ids.
+			if excluded = excluded || found.excludes(option{x.rec.ID, least}); excluded {
 				continue
 			}
 		}
@@ -262,8 +268,8 @@
 		case ok:
 			s.grants.add(ticket{t, text, received.Add(valid)})
 		default:
-			s.grants.record(t, refused)
 			s.grants.drop(t)
+			s.grants.record(t, refused)
 		}
 	}
 	p.dirty = true
