--- a/internal/workflow/planner/pace_test.go
+++ b/internal/workflow/planner/pace_test.go
@@ -31,6 +31,22 @@
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 }
 
+// Load: rounds of 2 ms, every 5 ms. Guards against placement that takes most of a processor in a
+// cell of thousands of targets, and against pauses in smaller cells.
+func TestLargestCellsPauseAfterShorterRounds(t *testing.T) {
+	c := quicktest.New(t)
+	for _, x := range []struct {
+		targets, starts int
+	}{{1100, 1}, {1501, 0}} {
+		s := newHarness(c, x.targets)
+		s.p.Pace(2*time.Millisecond, s.now)
+		s.now.Monotonic = s.now.Monotonic.Add(5 * time.Millisecond)
+		c.Check(s.submit(7, oneTask(cpus(1))), quicktest.HasLen, x.starts, quicktest.Commentf("%d targets", x.targets))
+		s.advance(10 * time.Millisecond)
+		c.Check(s.starts(), quicktest.HasLen, 1-x.starts)
+	}
+}
+
 // A leader that is late to handle an answer of the licensing service does not take the
 // tickets for longer valid than they are.
 func TestValidityOfTicketsCountsFromTheirReceipt(t *testing.T) {
--- a/internal/workflow/planner/progress.go
+++ b/internal/workflow/planner/progress.go
@@ -89,25 +89,26 @@
 func (p *Planner) checkProgress(now Moment) {
 	p.beginPass()
 	speeds := make(map[*target]*speeds)
-	var steps []*step
+	var started []*run // by step
 	for _, s := range p.stepsByPriority {
 		if s.def.LongRunning || s.def.Gang || s.def.BestEffortCPU {
 			continue
 		}
-		if s.typicalTime = p.typicalTimeOf(s, p.startedRuns(s)); s.typicalTime > 0 {
-			steps = append(steps, s)
-		}
-		for _, r := range p.startedRuns(s) {
-			speeds[r.target] = speeds[r.target].add(r, s.typicalTime)
+		before := len(started)
+		started = p.appendStarted(started, s)
+		runs := started[before:]
+		s.typicalTime = p.typicalTimeOf(s, runs)
+		for _, r := range runs {
+			if x := speeds[r.target].add(r, s.typicalTime); x != nil {
+				speeds[r.target] = x
+			}
 		}
 	}
 	for t, x := range speeds {
-		if x != nil {
-			t.health.observeSpeed(x.mean(), now.Monotonic)
-		}
+		t.health.observeSpeed(x.mean(), now.Monotonic)
 	}
-	for _, s := range steps {
-		for _, r := range p.startedRuns(s) {
+	for _, r := range started {
+		if s := p.steps[r.key.task.StepID()]; s != nil {
 			p.checkRun(s, r, now)
 		}
 	}
@@ -178,9 +179,8 @@
 	return r.observedTime() * fullPace / time.Duration(max(r.percent, minPercent))
 }
 
-// startedRuns returns the started runs of a step, ordered by task.
-func (p *Planner) startedRuns(s *step) []*run {
-	var out []*run
+// appendStarted appends the started runs of a step, ordered by task.
+func (p *Planner) appendStarted(out []*run, s *step) []*run {
 	for i := range s.rec.Tasks {
 		for _, x := range s.rec.Tasks[i].Runs {
 			r := s.job.runs[runKey{s.id.Task(i), x.Number}]
--- a/internal/workflow/planner/tickets_test.go
+++ b/internal/workflow/planner/tickets_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -92,3 +93,25 @@
 	s.answerTickets(requests[0], "second")
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 }
+
+// Guards against a request that leaves out the tightest target: a placement earlier in the pass
+// has taken capacity of a target that was like all others when the pass looked at them.
+func TestRequestsNameTheTightestTargetsFirst(t *testing.T) {
+	c := quicktest.New(t)
+	s := newHarness(c, 40)
+	s.put(definer.Queue{MaxAttempts: 2, Slack: 2, Grace: time.Second, Licence: quickLicence})
+	s.p.AddLicenceProxy("vm", s.now)
+	s.submitUnchecked(1, definer.Step{Count: 1, Need: cpus(8), Estimate: time.Minute})
+	s.plan()
+	first := s.ticketRequests()[0]
+	tightest := first.Targets[5]
+	s.p.TicketsReported(&planner.TicketReport{ID: first.ID, Answered: true, Admitted: map[tracker.TargetID]string{tightest: "ticket"}}, s.now)
+	s.submitUnchecked(2, definer.Step{Count: 1, Need: cpus(4), Estimate: time.Minute})
+	s.plan()
+	c.Assert(s.starts(), quicktest.HasLen, 1)
+	requests := s.ticketRequests()
+	c.Assert(requests, quicktest.HasLen, 1)
+	c.Assert(requests[0].Targets, quicktest.HasLen, 8)
+	c.Assert(requests[0].Targets[0], quicktest.Equals, tightest)
+	c.Assert(slices.IsSorted(requests[0].Targets[1:]), quicktest.IsTrue)
+}
