--- a/internal/workflow/planner/tickets_test.go
+++ b/internal/workflow/planner/tickets_test.go
@@ -106,12 +106,15 @@
 	first := s.ticketRequests()[0]
 	tightest := first.Targets[5]
 	s.p.TicketsReported(&planner.TicketReport{ID: first.ID, Answered: true, Admitted: map[tracker.TargetID]string{tightest: "ticket"}}, s.now)
-	s.submitUnchecked(2, definer.Step{Count: 1, Need: cpus(4), Estimate: time.Minute})
-	s.plan()
+	s.submitUnchecked(2, definer.Step{Count: 1, Need: cpus(4), Estimate: time.Second})
+	s.submitUnchecked(3, definer.Step{Count: 1, Need: cpus(4), Estimate: 2 * time.Minute})
+	s.plan() // step 2 asks, step 1 starts, step 3 asks
 	c.Assert(s.starts(), quicktest.HasLen, 1)
 	requests := s.ticketRequests()
-	c.Assert(requests, quicktest.HasLen, 1)
-	c.Assert(requests[0].Targets, quicktest.HasLen, 8)
-	c.Assert(requests[0].Targets[0], quicktest.Equals, tightest)
-	c.Assert(slices.IsSorted(requests[0].Targets[1:]), quicktest.IsTrue)
+	c.Assert(requests, quicktest.HasLen, 2)
+	last := requests[1]
+	c.Assert(last.Step.Job, quicktest.Equals, definer.JobID(3))
+	c.Assert(last.Targets, quicktest.HasLen, 8)
+	c.Assert(last.Targets[0], quicktest.Equals, tightest)
+	c.Assert(slices.IsSorted(last.Targets[1:]), quicktest.IsTrue)
 }
