--- a/internal/metrics/meter/meter.go
+++ b/internal/metrics/meter/meter.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"masticroad/internal/daemon/budgeter"
 	"masticroad/internal/peer/acceptor"
 	"masticroad/internal/peer/connector"
 	"masticroad/internal/workflow/planner"
@@ -33,6 +34,7 @@
 	workspaceWaits *prometheus.HistogramVec
 	late           *prometheus.CounterVec
 	calls          *prometheus.HistogramVec
+	undone         *prometheus.CounterVec // calls that were not decided
 	orders         *prometheus.HistogramVec
 	rounds         prometheus.Histogram
 	ends           *prometheus.CounterVec
@@ -72,6 +74,9 @@
 		ends: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "runs_ended_total", Help: "Runs by how they ended.",
 		}, []string{"how"}),
+		undone: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_not_decided_total", Help: "Calls that the leader has not decided, by the answer and why it is certain or not.",
+		}, []string{"kind", "verdict", "cause"}),
 		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: namespace, Name: "calls_failed_total", Help: "Calls to targets and services without an answer, by cause.",
 		}, []string{"kind", "cause"}),
@@ -107,7 +112,7 @@
 		Namespace: namespace, Name: "replicas_left_behind", Help: "Replicas that get no entries since their versions do not follow the format in force, at the leader.",
 	})
 	m.load.Store(&planner.Load{})
-	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.calls, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
+	m.registry.MustRegister(m.jobs, m.waits, m.rejected, m.workspaceWaits, m.calls, m.undone, m.orders, m.late, m.ends, m.failures, m.ignored, m.dropped, m.failed, m.format, m.rounds, m.leading, m.voters, m.differs, m.behind, m.unknown, m.foreign, workspaces{m},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.gauges()
@@ -215,6 +220,13 @@
 	}
 }
 
+// CallNotDecided counts a call that the leader has not decided.
+func (m *Meter) CallNotDecided(kind, verdict, cause string) {
+	if m != nil {
+		m.undone.WithLabelValues(kind, verdict, cause).Inc()
+	}
+}
+
 // Order takes in a call to a target or a service.
 func (m *Meter) Order(kind, outcome string, took time.Duration) {
 	if m != nil {
@@ -243,6 +255,29 @@
 	m.connections(name, "open", "Connections that are open.", func() float64 { return float64(stats().Open) })
 	m.connections(name, "idle", "Connections without a request.", func() float64 { return float64(stats().Idle) })
 	m.connections(name, "closed_for_room_total", "Idle connections that were closed for another one.", func() float64 { return float64(stats().ClosedForRoom) })
+	m.connections(name, "cut_for_room_total", "Connections that were closed inside a request for another one.", func() float64 { return float64(stats().CutForRoom) })
+}
+
+// Memory adds the gauges and counters of the memory for requests.
+func (m *Meter) Memory(stats func() budgeter.Stats) {
+	if m == nil {
+		return
+	}
+	gauge := func(name, help string, value func(budgeter.Stats) float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Subsystem: "request_memory", Name: name, Help: help},
+			func() float64 { return value(stats()) }))
+	}
+	gauge("total_bytes", "Memory for requests of callers.", func(s budgeter.Stats) float64 { return float64(s.Total) })
+	gauge("taken_bytes", "Memory that requests take now.", func(s budgeter.Stats) float64 { return float64(s.Taken) })
+	gauge("taken_most_bytes", "Most memory that requests have taken.", func(s budgeter.Stats) float64 { return float64(s.HighWater) })
+	gauge("returned_bytes", "Memory that requests have returned and that is not collected as garbage yet.", func(s budgeter.Stats) float64 { return float64(s.Returned) })
+	gauge("waiting", "Requests that wait for memory.", func(s budgeter.Stats) float64 { return float64(s.Waiting) })
+	for reason, err := range budgeter.Reasons() {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Subsystem: "request_memory", Name: "refused_total", Help: "Requests that were refused or cut for want of memory, by reason.",
+			ConstLabels: prometheus.Labels{"reason": reason},
+		}, func() float64 { return float64(stats().Refusals[err]) }))
+	}
 }
 
 func (m *Meter) connections(purpose, name, help string, value func() float64) {
