--- a/internal/workflow/planner/planner.go
+++ b/internal/workflow/planner/planner.go
@@ -99,6 +99,7 @@
 	jobs            map[definer.JobID]*job   // not ended, or with runs left
 	recurring       map[definer.JobID]bool   // jobs with occurrences left to start
 	licenceProxies  map[LicenceProxyID]*licenceProxy
+	proxyQueue      proxyQueue // the same, by their backlog
 	ticketRequests  map[TicketRequestID]*ticketRequest
 	lastRequest     TicketRequestID
 	estimateBiases  map[definer.QueueName]*estimateBias
@@ -113,20 +114,21 @@
 	formerStrays    []formerStray
 	passes          uint64 // of placement
 	keyring         Keyring
-	images          *images                        // nil: interference between images is ignored
-	exposed         []exposure                     // of the run that is being observed
-	slots           slot                           // taken so far
-	freeSlots       []slot                         // of removed targets
-	scans           map[definer.PoolName]*poolScan // of the current pass
-	holding         []*target                      // with capacity held by the newest pass
-	endangered      []*step                        // see refreshEndangered
-	endangeredRuns  map[*step]int                  // the runs that each of them may lose
-	holders         int                            // steps for which that pass holds capacity
-	longCalls       int                            // pending calls of the licensing service that count as long
-	sought          map[definer.PoolName]*sought   // in the current pass
-	proxiesFull     bool                           // no proxy accepts another ticket request in this pass
-	passDue         time.Time                      // no placement before
-	dirty           bool                           // placement has to run again
+	images          *images                            // nil: interference between images is ignored
+	exposed         []exposure                         // of the run that is being observed
+	slots           slot                               // taken so far
+	freeSlots       []slot                             // of removed targets
+	scans           map[definer.PoolName]*poolScan     // of the current pass
+	spareRoomy      map[definer.PoolName][]roomyTarget // lists of earlier passes, to be used again
+	holding         []*target                          // with capacity held by the newest pass
+	endangered      []*step                            // see refreshEndangered
+	endangeredRuns  map[*step]int                      // the runs that each of them may lose
+	holders         int                                // steps for which that pass holds capacity
+	longCalls       int                                // pending calls of the licensing service that count as long
+	sought          map[definer.PoolName]*sought       // in the current pass
+	proxiesFull     bool                               // no proxy accepts another ticket request in this pass
+	passDue         time.Time                          // no placement before
+	dirty           bool                               // placement has to run again
 	stepsByPriority []*step
 	sweepAt         time.Time
 	heldPolls       int // polls on their way that a target may hold for their wait
@@ -250,7 +252,7 @@
 	p.jobs = make(map[definer.JobID]*job)
 	p.recurring = make(map[definer.JobID]bool)
 	p.longCalls, p.sought = 0, make(map[definer.PoolName]*sought)
-	p.licenceProxies = make(map[LicenceProxyID]*licenceProxy)
+	p.licenceProxies, p.proxyQueue = make(map[LicenceProxyID]*licenceProxy), nil
 	p.ticketRequests = make(map[TicketRequestID]*ticketRequest)
 	p.estimateBiases = make(map[definer.QueueName]*estimateBias)
 	p.stepBiases = make(map[definer.QueueName]*estimateBias)
@@ -265,7 +267,7 @@
 	if p.Settings.Interference != IgnoreInterference {
 		p.images = newImages()
 	}
-	p.scans = make(map[definer.PoolName]*poolScan)
+	p.scans, p.spareRoomy = make(map[definer.PoolName]*poolScan), make(map[definer.PoolName][]roomyTarget)
 	p.slots, p.freeSlots = 0, nil
 	p.passDue = time.Time{}
 	p.holding, p.endangered = nil, nil
@@ -346,8 +348,12 @@
 // follows. Polls and leases must not wait for the placement of a long backlog, so that it
 // takes a part of the time only.
 func (p *Planner) Pace(took time.Duration, now Moment) {
-	if took > longRound {
-		p.passDue = now.Monotonic.Add(min(placementPause*took, maxPlacementPause))
+	long, pause := longRound, time.Duration(placementPause)
+	if len(p.targets) > largeCell {
+		long, pause = longRoundOfLargeCell, placementPauseOfLargeCell
+	}
+	if took > long {
+		p.passDue = now.Monotonic.Add(min(pause*took, maxPlacementPause))
 	}
 }
 
@@ -357,6 +363,14 @@
 	maxPlacementPause = 250 * time.Millisecond
 )
 
+// In a cell with more than largeCell targets most rounds have inputs, and a round of a few
+// milliseconds every five would take the leader's share of a processor.
+const (
+	largeCell                 = 1500
+	longRoundOfLargeCell      = time.Millisecond
+	placementPauseOfLargeCell = 4
+)
+
 // sweep runs the checks that depend on time alone.
 func (p *Planner) sweep(now Moment) {
 	p.startDueOccurrences(now)
--- a/internal/workflow/planner/ticket_load.go
+++ b/internal/workflow/planner/ticket_load.go
@@ -58,11 +58,9 @@
 		x.room.add(f.released, validity.Seconds())
 	}
 	var free, capacity amount
-	for _, t := range pl.targets {
-		if t.schedulable(now) {
-			free.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
-			capacity.add(amountOf(t.rec.Capacity, 1), 1)
-		}
+	for _, t := range p.poolScan(pl, now).roomy {
+		free.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
+		capacity.add(amountOf(t.rec.Capacity, 1), 1)
 	}
 	x.room.add(free, 1)
 	x.ample = free[0] >= capacity[0]*ampleShare && free[1] >= capacity[1]*ampleShare
