--- a/internal/workflow/planner/shares.go
+++ b/internal/workflow/planner/shares.go
@@ -312,10 +312,8 @@
 func (p *Planner) spareOf(name definer.PoolName, waiting []*step, now Moment) *amount {
 	spare := &amount{}
 	if pl := p.pools[name]; pl != nil {
-		for _, t := range pl.targets {
-			if t.schedulable(now) {
-				spare.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
-			}
+		for _, t := range p.poolScan(pl, now).roomy {
+			spare.add(amountOf(t.free().Max(registrar.Need{}), 1), 1)
 		}
 	}
 	for _, s := range waiting {
--- a/internal/workflow/planner/targets.go
+++ b/internal/workflow/planner/targets.go
@@ -55,6 +55,7 @@
 	throttling           throttling
 	neighbours           neighbours
 	speed                targetSpeed
+	chargedIn            *poolScan // the newest one that has it in charged
 }
 
 // free returns the capacity for new work.
