--- a/internal/daemon/coordinator/calls_test.go
+++ b/internal/daemon/coordinator/calls_test.go
@@ -29,7 +29,7 @@
 }
 
 func (l *link) Send(messages []replicator.Message) {
-	if !l.cut.Load() {
+	if len(messages) > 0 && !l.cut.Load() { // empty batches would make the nodes wake each other without end
 		l.to.Receive(messages)
 	}
 }
--- a/internal/state/replicator/node.go
+++ b/internal/state/replicator/node.go
@@ -17,7 +17,7 @@
 // neither heartbeats nor commits by the other replicas.
 
 const (
-	minTick       = 5 * time.Millisecond // shortest timer interval
+	minTick       = 5 * time.Millisecond // between ticks
 	inboxSize     = 1024                 // inputs
 	maxInboxBatch = 256                  // inputs per write
 )
@@ -51,6 +51,7 @@
 	inbox             chan func(now time.Time)
 	status            atomic.Pointer[Status]
 	pendingUpdates    []Update
+	tickedAt          time.Time // last tick of the core
 	saving            bool      // a write is in progress or waits for a retry
 	retryAt           time.Time // when a failed write is retried; zero: none failed
 	afterSave         []Message // to be sent once the write is synced
@@ -198,11 +199,12 @@
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
-		tick.Reset(max(n.nextWake().Sub(n.Now()), minTick))
+		tick.Reset(n.nextWake().Sub(n.Now()))
 		if err := n.wait(ctx, tick.C, saved); err != nil {
 			n.awaitWrite(saved)
 			return nil
 		}
+		n.tickIfDue(n.Now())
 		n.flush(writes)
 	}
 }
@@ -217,14 +219,26 @@
 
 func (n *Node) nextWake() time.Time {
 	nextWake := n.Core.Due()
+	if earliest := n.tickedAt.Add(minTick); nextWake.Before(earliest) {
+		nextWake = earliest
+	}
 	if !n.retryAt.IsZero() && n.retryAt.Before(nextWake) {
 		return n.retryAt
 	}
 	return nextWake
 }
 
-// wait blocks until there is an input, then handles the inputs that have arrived
-// meanwhile.
+// tickIfDue ticks the core after any input, not only when the timer fires: inputs that
+// arrive in quick succession reset the timer each time.
+func (n *Node) tickIfDue(now time.Time) {
+	if !now.Before(n.Core.Due()) && now.Sub(n.tickedAt) >= minTick {
+		n.tickedAt = now
+		n.Core.Tick(now)
+	}
+}
+
+// wait blocks until there is an input or a tick is due, then handles the inputs that have
+// arrived meanwhile.
 func (n *Node) wait(ctx context.Context, tick <-chan time.Time, saved <-chan error) error {
 	out, head := n.nextUpdate()
 	select {
@@ -235,7 +249,6 @@
 	case err := <-saved:
 		n.handleSaveResult(err)
 	case <-tick:
-		n.Core.Tick(n.Now())
 	case f := <-n.inbox:
 		f(n.Now())
 		n.drainInbox()
--- a/internal/state/replicator/node_test.go
+++ b/internal/state/replicator/node_test.go
@@ -292,3 +292,27 @@
 		}
 	}
 }
+
+// Guards against inputs in quick succession that keep the timer from firing, so that no election
+// is started and a leader sends no heartbeats.
+func TestFrequentInputsDoNotDelayElections(t *testing.T) {
+	c := quicktest.New(t)
+	const own = replicator.ReplicaID("a.1")
+	core := &replicator.Core{Group: 1, ID: own, Durable: true, Timing: replicator.DefaultTiming, Rand: rand.New(rand.NewSource(1))}
+	core.Start(replicator.StoredState{Snapshot: replicator.Snapshot{Voters: []replicator.ReplicaID{own}}}, time.Now())
+	n := &replicator.Node{Core: core, Storage: replicator.MemoryStorage{}, Sender: discard{}, Now: time.Now}
+	n.Open()
+	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	c.Cleanup(func() { cancel(); parts.Wait() })
+	parts.Go(func() { _ = n.Run(ctx) })
+	for end := time.Now().Add(5 * time.Second); n.Status().Role != replicator.Leader; time.Sleep(100 * time.Microsecond) {
+		c.Assert(time.Now().Before(end), quicktest.IsTrue, quicktest.Commentf("no election was started"))
+		n.Receive(nil)
+	}
+}
+
+// discard is a sender that sends nothing.
+type discard struct{}
+
+func (discard) Send([]replicator.Message) {}
