--- a/internal/workflow/planner/ticket_load.go
+++ b/internal/workflow/planner/ticket_load.go
@@ -22,7 +22,7 @@
 	// longCall is the declared duration above which a call counts as long: urgent steps
 	// behind one would wait for a good part of their objective.
 	longCall = 100 * time.Millisecond
-	// shortCallShare is the part of the daemons that is left to short calls.
+	// shortCallShare tells of how many daemons one is left to short calls.
 	shortCallShare = 4
 	// ampleShare is the free part of a pool from which on any step may make a call. Steps that wait
 	// for certain targets may hold back others that could start.
