--- a/internal/cli/commander/docs_test.go
+++ b/internal/cli/commander/docs_test.go
@@ -205,7 +205,7 @@
 		"the lower one of `max-fds` under `limits` and the system's limit, less fixed numbers for files, services and a reserve, among the purposes that a daemon has |\n" +
 		"| interference | off | off, observe, avoid | what the leader does about images whose runs slow each other down on a target: nothing; learn and report which do; " +
 		"or also prefer targets without them where there is ample room. Set it alike on all daemons with a data folder |\n" +
-		"| request-memory-mb | 0 | 0 to 1048576; 0: 16 % of `memory-mb` under `limits`, or of 512 if that is not declared | memory that requests of callers, targets and operators take at once; " +
+		"| request-memory-mb | 0 | 0 to 1048576; 0: 12 % of `memory-mb` under `limits`, or of 512 if that is not declared | memory that requests of callers, targets and operators take at once; " +
 		"beyond it they wait, and are then refused with 503 (docs/design/memory.md) |\n" +
 		"| request-timeout-ms | 0 | a whole number from 0; 0: 10000 | time in which the header of a request must arrive, and then its body; 6 s more for each MiB of a body |\n" +
 		"\nThe runtime stays within 80 % of what `memory-mb` leaves beside 24 MB for the program's own pages, and each interface accepts as many connections as fit into two fifths of it at 24 KB each.\n"
