--- a/review/standins-3/callers.go
+++ b/review/standins-3/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 
 // callers are the operator and consumers.
 type callers struct {
+	ctx    context.Context
 	rec    *record
 	cell   *cell
 	client *http.Client
@@ -69,7 +71,7 @@
 			c.rec.note("%s %s%s: %d %.200s", method, host, path, status, data)
 			return status, data
 		}
-		if time.Now().After(end) {
+		if time.Now().After(end) || c.ctx.Err() != nil {
 			c.rec.note("%s %s%s: no clear answer, last %d", method, host, path, status)
 			return status, data
 		}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -76,7 +76,7 @@
 		}
 		defer func() { _ = os.RemoveAll(folder) }()
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 105*time.Second)
 	defer cancel()
 	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -123,7 +123,7 @@
 			return p, err
 		}
 	}
-	p.callers = &callers{rec, p.cell, &http.Client{Timeout: 3 * time.Second}}
+	p.callers = &callers{ctx, rec, p.cell, &http.Client{Timeout: 3 * time.Second}}
 	if !p.callers.configure() {
 		return p, errCase("the first desired state was not confirmed")
 	}
--- a/review/standins-3/workers.go
+++ b/review/standins-3/workers.go
@@ -336,10 +336,12 @@
 		panic(http.ErrAbortHandler) // nobody is there
 	}
 	if x := r.Header.Get("X-Masticroad-Expect-Instance"); x != "" && x != m.w.id {
+		m.fleet.rec.note("call for %s on %s: 421, %s is there", x, m.name, m.w.id)
 		answer(w, http.StatusMisdirectedRequest, map[string]any{"clock-ms": m.w.clock(time.Now())})
 		return false
 	}
 	if b.Token < m.w.fence {
+		m.fleet.rec.note("call on %s with token %d: 409 fence", m.name, b.Token)
 		answer(w, http.StatusConflict, map[string]any{"clock-ms": m.w.clock(time.Now()), "reason": "fence"})
 		return false
 	}
@@ -368,6 +370,9 @@
 		if reason != "" {
 			body["reason"] = reason
 		}
+		if status != http.StatusOK {
+			m.fleet.rec.note("order about %s run %d on %s, token %d: %d %s", b.Task, b.Run, m.name, b.Token, status, reason)
+		}
 		answer(w, status, body)
 	}
 }
